--- /dev/null
+++ b/src/core/epoch.hpp
@@ -0,0 +1,92 @@
+// Epochs and mandates: who leads, who owns which team, and until when a node may act.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/model.hpp"
+
+namespace hatchwind::core {
+
+// A member is one life of a node: its label and the grant that this life holds.
+struct Member {
+    std::string label;
+    std::uint64_t grant = 0;
+    friend bool operator==(const Member&, const Member&) = default;
+};
+
+struct Epoch {
+    std::uint64_t number = 0;  // also the command token; 0: none was ever written
+    std::string leader;
+    std::vector<Member> members;
+    std::map<std::string, std::string> owners;  // team -> label
+    // Time of day at which the last epoch that removed a member was written. No life that is not a member
+    // now can have answered a worker after it.
+    Micros removed_at{};
+    Stamp stamp = 0;
+
+    const Member* member(const std::string& label) const {
+        for (const auto& m : members) {
+            if (m.label == label) return &m;
+        }
+        return nullptr;
+    }
+};
+
+struct NodeRecord {
+    std::uint64_t grant = 0;
+    Stamp stamp = 0;
+};
+
+struct EpochInput {
+    Epoch current;
+    std::map<std::string, NodeRecord> nodes;  // the nodes' keys as the store has them
+    Member self;
+    std::vector<Team> teams;
+    std::set<std::string> unfit;     // live nodes that say they cannot do their part
+    std::set<std::string> promised;  // nodes that this one has promised not to remove just now
+    bool bound = false;              // this life may be bound by promises that an earlier one gave
+    Micros wall{};
+};
+
+struct EpochPlan {
+    Epoch next;
+    std::vector<std::pair<std::string, Stamp>> node_conditions;  // label -> stamp its key must still have
+};
+
+// The epoch that this node should write now, if any. Only the leader writes while it lives; when it is
+// gone, any live node may, and the first commit wins.
+std::optional<EpochPlan> plan_epoch(const EpochInput& in);
+
+// Teams over the fit members: stays as it is where it can, moves as little as balance needs.
+std::map<std::string, std::string> assign_owners(const std::vector<Team>& teams,
+                                                 const std::vector<std::string>& members,
+                                                 const std::string& leader,
+                                                 const std::map<std::string, std::string>& before);
+
+// Until when this node may act. All times are this node's steady clock.
+class Mandate {
+  public:
+    explicit Mandate(std::vector<std::string> others) : others_(std::move(others)) {}
+
+    // A renewal that was sent then succeeded: the store keeps the grant for its life from a later moment.
+    void renewed(Micros sent, Micros life);
+    // Everyone else has promised, for `life` from when they were asked. Counts only while still alive: then
+    // every promise was given while no one could have removed this node.
+    void promise(const std::string& from, Micros asked, Micros life, Micros now);
+    void lost() { until_ = Micros::min(), promises_.clear(); }
+    bool alive(Micros now) const { return now < until(); }
+    Micros until() const;
+
+  private:
+    static Micros shortened(Micros from, Micros life);
+    std::vector<std::string> others_;
+    Micros until_ = Micros::min();
+    std::map<std::string, Micros> promises_;
+};
+
+}  // namespace hatchwind::core
--- /dev/null
+++ b/src/core/fleet_planner.hpp
@@ -0,0 +1,42 @@
+// Renting follows the queue: what has no room, less what is booting already.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "core/placement.hpp"
+#include "core/room.hpp"
+
+namespace hatchwind::core {
+
+struct Pool {
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    friend auto operator<=>(const Pool&, const Pool&) = default;
+};
+
+struct FleetSettings {
+    double drain_queue_s = 60;     // rent so much that arrays' backlog would be done within this time
+    double spare_share = 0.0;      // room kept free for services, as a share of what they use
+    std::size_t most_per_round = 20;
+};
+
+struct FleetInput {
+    const Ledger* ledger = nullptr;
+    const Picture* picture = nullptr;
+    const Catalog* catalog = nullptr;
+    const std::map<std::string, Team>* teams = nullptr;
+    const std::vector<Objective>* objectives = nullptr;
+    std::vector<Rental> booting;                // rented, not reporting yet, not overdue
+    std::map<Pool, Micros> refused_until;       // steady
+    Micros now{};
+};
+
+// How many machines to rent from which pool.
+std::map<Pool, std::uint32_t> plan_rentals(const FleetSettings& s, const FleetInput& in, Room room);
+
+}  // namespace hatchwind::core
--- /dev/null
+++ b/src/core/ledger.cpp
@@ -0,0 +1,118 @@
+#include "core/ledger.hpp"
+
+#include <algorithm>
+
+namespace hatchwind::core {
+
+std::uint64_t JobEntry::last_attempt() const {
+    std::uint64_t n = 0;
+    for (const auto& [i, c] : chunks) n = std::max(n, c.last_attempt);
+    return n;
+}
+
+void Ledger::account(const JobEntry& e, const Chunk& c, int sign) {
+    for (const auto& [task, a] : c.open) {
+        if (sign > 0) {
+            by_machine_[a.machine].insert({e.job.id, task});
+        } else if (auto it = by_machine_.find(a.machine); it != by_machine_.end()) {
+            it->second.erase({e.job.id, task});
+            if (it->second.empty()) by_machine_.erase(it);
+        }
+    }
+    auto& use = use_[e.job.team];
+    use += e.job.need * (sign * static_cast<double>(c.open.size()));
+}
+
+void Ledger::put_job(Job job, Stamp stamp) {
+    auto [it, fresh] = jobs_.try_emplace(job.id);
+    JobEntry& e = it->second;
+    if (!fresh && e.stamp >= stamp) return;
+    e.job = std::move(job);
+    e.stamp = stamp;
+}
+
+void Ledger::put_chunk(const std::string& job, std::uint32_t index, Chunk chunk) {
+    const auto it = jobs_.find(job);
+    if (it == jobs_.end()) {
+        orphans_[{job, index}] = chunk.stamp;
+        return;
+    }
+    JobEntry& e = it->second;
+    Chunk& mine = e.chunks[index];
+    if (mine.stamp >= chunk.stamp) return;
+    account(e, mine, -1);
+    e.open = e.open - static_cast<std::uint32_t>(mine.open.size()) + static_cast<std::uint32_t>(chunk.open.size());
+    e.done = e.done - mine.done.size() + chunk.done.size();
+    mine = std::move(chunk);
+    account(e, mine, +1);
+}
+
+void Ledger::erase_job(const std::string& job, Stamp at) {
+    const auto it = jobs_.find(job);
+    if (it == jobs_.end() || it->second.stamp >= at) return;
+    for (const auto& [index, c] : it->second.chunks) {
+        account(it->second, c, -1);
+        if (c.stamp != 0) orphans_[{job, index}] = c.stamp;
+    }
+    jobs_.erase(it);
+}
+
+void Ledger::erase_chunk(const std::string& job, std::uint32_t index, Stamp at) {
+    if (const auto o = orphans_.find({job, index}); o != orphans_.end() && o->second < at) orphans_.erase(o);
+    const auto it = jobs_.find(job);
+    if (it == jobs_.end()) return;
+    const auto c = it->second.chunks.find(index);
+    if (c == it->second.chunks.end() || c->second.stamp >= at) return;
+    account(it->second, c->second, -1);
+    it->second.open -= static_cast<std::uint32_t>(c->second.open.size());
+    it->second.done -= c->second.done.size();
+    it->second.chunks.erase(c);
+}
+
+void Ledger::clear() {
+    jobs_.clear();
+    use_.clear();
+    by_machine_.clear();
+    orphans_.clear();
+}
+
+const JobEntry* Ledger::find(const std::string& job) const {
+    const auto it = jobs_.find(job);
+    return it == jobs_.end() ? nullptr : &it->second;
+}
+
+const Attempt* Ledger::open_attempt(const std::string& job, std::uint32_t task) const {
+    const JobEntry* e = find(job);
+    if (e == nullptr) return nullptr;
+    const auto c = e->chunks.find(task / kChunkTasks);
+    if (c == e->chunks.end()) return nullptr;
+    const auto a = c->second.open.find(task);
+    return a == c->second.open.end() ? nullptr : &a->second;
+}
+
+Amount Ledger::team_use(const std::string& team) const {
+    const auto it = use_.find(team);
+    return it == use_.end() ? Amount{} : it->second;
+}
+
+const std::set<TaskRef>& Ledger::on_machine(const std::string& machine) const {
+    static const std::set<TaskRef> none;
+    const auto it = by_machine_.find(machine);
+    return it == by_machine_.end() ? none : it->second;
+}
+
+std::vector<std::uint32_t> unstarted_tasks(const JobEntry& e, std::size_t most) {
+    std::vector<std::uint32_t> out;
+    const std::uint32_t last_chunk = (e.job.tasks - 1) / kChunkTasks;
+    for (std::uint32_t i = 0; i <= last_chunk && out.size() < most; ++i) {
+        const auto c = e.chunks.find(i);
+        const std::uint32_t end = std::min(e.job.tasks, (i + 1) * kChunkTasks);
+        for (std::uint32_t t = i * kChunkTasks; t < end && out.size() < most; ++t) {
+            if (c != e.chunks.end() && (c->second.done.contains(t) || c->second.open.contains(t))) continue;
+            out.push_back(t);
+        }
+    }
+    return out;
+}
+
+}  // namespace hatchwind::core
--- /dev/null
+++ b/src/core/ledger.hpp
@@ -0,0 +1,85 @@
+// The ledger: accepted jobs, attempts written ahead, and what each team uses. It is a copy of the store:
+// it changes by what was committed and by nothing else.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "core/model.hpp"
+#include "core/range_set.hpp"
+
+namespace hatchwind::core {
+
+// Tasks of one store record. Small enough for the value limit whatever they do.
+constexpr std::uint32_t kChunkTasks = 64;
+
+struct Attempt {
+    std::uint64_t number = 0;
+    std::string machine;
+    std::uint64_t session = 0;
+    friend bool operator==(const Attempt&, const Attempt&) = default;
+};
+
+struct Chunk {
+    Stamp stamp = 0;
+    RangeSet done;
+    std::map<std::uint32_t, Attempt> open;  // by task number
+    std::uint64_t last_attempt = 0;
+};
+
+struct JobEntry {
+    Job job;
+    Stamp stamp = 0;
+    std::map<std::uint32_t, Chunk> chunks;
+    std::uint32_t done = 0;
+    std::uint32_t open = 0;
+
+    std::uint32_t unstarted() const { return job.tasks - done - open; }
+    bool finished() const { return done == job.tasks; }
+    std::uint64_t last_attempt() const;
+};
+
+struct TaskRef {
+    std::string job;
+    std::uint32_t task = 0;
+    friend auto operator<=>(const TaskRef&, const TaskRef&) = default;
+};
+
+class Ledger {
+  public:
+    using Jobs = std::map<std::string, JobEntry>;
+
+    // Each takes a record as the store has it; older stamps than the known one change nothing.
+    void put_job(Job job, Stamp stamp);
+    void put_chunk(const std::string& job, std::uint32_t index, Chunk chunk);
+    void erase_job(const std::string& job, Stamp at);
+    void erase_chunk(const std::string& job, std::uint32_t index, Stamp at);
+    void clear();
+
+    const Jobs& jobs() const { return jobs_; }
+    const JobEntry* find(const std::string& job) const;
+    const Attempt* open_attempt(const std::string& job, std::uint32_t task) const;
+    // What the team's recorded attempts use that are not known to be gone.
+    Amount team_use(const std::string& team) const;
+    const std::set<TaskRef>& on_machine(const std::string& machine) const;
+    const std::unordered_map<std::string, std::set<TaskRef>>& by_machine() const { return by_machine_; }
+    // Chunk records whose job is over: left by a node that ended between its commits.
+    const std::map<std::pair<std::string, std::uint32_t>, Stamp>& orphans() const { return orphans_; }
+
+  private:
+    void account(const JobEntry& e, const Chunk& c, int sign);
+    Jobs jobs_;
+    std::unordered_map<std::string, Amount> use_;
+    std::unordered_map<std::string, std::set<TaskRef>> by_machine_;
+    std::map<std::pair<std::string, std::uint32_t>, Stamp> orphans_;
+};
+
+// Tasks of a job that have no open attempt and are not done, lowest first, at most `most`.
+std::vector<std::uint32_t> unstarted_tasks(const JobEntry& e, std::size_t most);
+
+}  // namespace hatchwind::core
--- /dev/null
+++ b/src/core/model.hpp
@@ -0,0 +1,150 @@
+// What the scheduler knows of the world, in its own terms. No wire names here.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace hatchwind::core {
+
+using Micros = std::chrono::microseconds;
+using Stamp = std::uint64_t;  // a store revision; 0: the key does not exist
+
+constexpr double kSlack = 1e-6;  // amounts are decimal fractions: sums of them are compared with this much room
+
+enum class JobKind : std::uint8_t { array, gang, service };
+enum class Priority : std::uint8_t { best_effort, normal, high, production };
+
+struct Amount {
+    double cpus = 0;
+    double gpus = 0;
+    double memory_gb = 0;
+
+    Amount& operator+=(const Amount& o) {
+        cpus += o.cpus;
+        gpus += o.gpus;
+        memory_gb += o.memory_gb;
+        return *this;
+    }
+    Amount& operator-=(const Amount& o) {
+        cpus -= o.cpus;
+        gpus -= o.gpus;
+        memory_gb -= o.memory_gb;
+        return *this;
+    }
+    friend Amount operator*(Amount a, double k) { return {a.cpus * k, a.gpus * k, a.memory_gb * k}; }
+    bool fits_in(const Amount& room) const {
+        return cpus <= room.cpus + kSlack && gpus <= room.gpus + kSlack && memory_gb <= room.memory_gb + kSlack;
+    }
+};
+
+struct Job {
+    std::string id;
+    std::string job_class;
+    std::string team;
+    JobKind kind = JobKind::array;
+    Priority priority = Priority::normal;
+    std::uint32_t tasks = 1;
+    Amount need;
+    std::string image;
+    double image_gb = 0;
+    std::optional<std::vector<std::string>> types;
+    std::optional<std::string> zone;
+    bool one_zone = false;
+    bool spread = false;
+    bool spot = false;
+    double estimate_s = 0;
+    double checkpoint_s = 0;
+    double save_s = 0;
+    std::optional<double> deadline_s;
+
+    Micros accepted{};  // time of day
+    bool cancelled = false;
+    Micros cancelled_at{};  // time of day
+
+    std::uint32_t zone_cap() const { return spread ? (tasks + 1) / 2 : tasks; }
+    bool allows_type(const std::string& type) const {
+        if (!types) return true;
+        for (const auto& t : *types) {
+            if (t == type) return true;
+        }
+        return false;
+    }
+};
+
+struct Team {
+    std::string name;
+    double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;
+};
+
+struct Objective {
+    std::string kind;
+    std::string job_class;
+    double within_s = 0;
+    double share = 0;
+    double times = 1;
+};
+
+struct MachineType {
+    std::string name;
+    Amount size;
+    double cache_gb = 0;
+    double fetch_gb_per_s = 1;
+    double price = 0;
+    double spot_price = 0;
+    Micros boot{};
+    std::vector<std::string> zones;
+};
+using Catalog = std::map<std::string, MachineType>;
+
+enum class TaskState : std::uint8_t { fetching, waiting, running, saving, exited };
+enum class ExitCause : std::uint8_t { none, done, stopped, peers, alone, error, no_room, busy, unknown };
+
+struct TaskReport {
+    std::string job;
+    std::uint32_t task = 0;
+    std::uint64_t attempt = 0;
+    TaskState state = TaskState::fetching;
+    ExitCause cause = ExitCause::none;
+    bool saved = false;
+    friend bool operator==(const TaskReport&, const TaskReport&) = default;
+};
+
+struct WorkerReport {
+    std::string machine;
+    std::string address;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    std::uint64_t session = 0;
+    std::uint64_t tick = 0;
+    std::uint64_t token = 0;
+    std::optional<double> notice_s;
+    std::vector<TaskReport> tasks;
+};
+
+enum class RentalState : std::uint8_t { booting, running, failed };
+
+struct Rental {
+    std::string machine;
+    std::string address;
+    std::string type;
+    std::string zone;
+    bool spot = false;
+    RentalState state = RentalState::booting;
+    double age_s = 0;
+};
+
+enum class OrderKind : std::uint8_t { start, stop, forget };
+struct Order {
+    OrderKind kind = OrderKind::start;
+    std::string job;
+    std::uint32_t task = 0;
+    std::uint64_t attempt = 0;
+    double grace_s = 0;
+};
+
+}  // namespace hatchwind::core
--- /dev/null
+++ b/src/core/placement.hpp
@@ -0,0 +1,63 @@
+// Which task starts where: a pure pass over the queue and the room.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/ledger.hpp"
+#include "core/room.hpp"
+
+namespace hatchwind::core {
+
+struct Start {
+    std::string job;
+    std::uint32_t task = 0;
+    Attempt attempt;
+};
+
+struct Stop {
+    std::string job;
+    std::uint32_t task = 0;
+    Attempt attempt;
+    double grace_s = 0;
+};
+
+// Room that was cleared for one task by stopping others; nobody else may take it until then.
+struct Reservation {
+    std::string machine;
+    Amount need;
+    Micros until{};
+};
+
+struct PlacementInput {
+    const Ledger* ledger = nullptr;
+    const Picture* picture = nullptr;
+    const std::map<std::string, Team>* teams = nullptr;
+    const std::vector<Objective>* objectives = nullptr;
+    std::set<std::string> own_teams;
+    std::map<std::string, Micros> job_backoff;  // steady: until when the job's tasks are not tried
+    std::map<TaskRef, Reservation> reservations;
+    Micros now{};   // steady
+    Micros wall{};  // time of day
+    std::size_t most_starts = 48;
+    std::size_t most_stops = 8;
+};
+
+struct PlacementResult {
+    std::vector<Start> starts;
+    std::vector<Stop> stops;
+    std::map<TaskRef, Reservation> reservations;
+};
+
+// The time of day by which the job's users want it, from its deadline or its class's objectives.
+Micros due_time(const Job& j, const std::vector<Objective>& objectives);
+
+// Jobs of the given teams with tasks to start, most urgent first.
+std::vector<const JobEntry*> queue_order(const Ledger& l, const std::set<std::string>& teams,
+                                         const std::vector<Objective>& objectives);
+
+PlacementResult place(const PlacementInput& in, Room& room);
+
+}  // namespace hatchwind::core
--- /dev/null
+++ b/src/core/room.hpp
@@ -0,0 +1,86 @@
+// Room on the machines as this node sees it: the copy in which placements are tried, kept or taken back.
+#pragma once
+
+#include <functional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/ledger.hpp"
+#include "core/model.hpp"
+#include "core/picture.hpp"
+
+namespace hatchwind::core {
+
+struct RoomMachine {
+    std::string id;
+    const MachineType* type = nullptr;
+    const MachineView* view = nullptr;  // null for a machine that is still booting or only planned
+    std::string zone;
+    bool spot = false;
+    bool usable = true;      // takes new tasks at all
+    bool draining = false;   // never a destination
+    bool candidate = false;  // a destination of last resort
+    Amount free;
+    std::uint64_t session = 0;
+
+    double use() const { return type->size.cpus <= 0 ? 0 : 1 - free.cpus / type->size.cpus; }
+    bool has_image(const std::string& image) const {
+        return view != nullptr && view->images.contains(image);
+    }
+};
+
+// What makes a machine unfit to take tasks now; filled in by whoever builds the room.
+struct Availability {
+    Micros now{};            // steady
+    Micros silent_after{};   // a machine without news for this long takes nothing new
+    std::set<std::string> draining;
+    std::set<std::string> candidates;
+    std::map<std::string, Micros> banned_until;  // steady: machines on which tasks failed or were refused
+};
+
+class Room {
+  public:
+    static Room build(const Picture& p, const Ledger& l, const Catalog& c, const Availability& a);
+
+    std::vector<RoomMachine>& machines() { return machines_; }
+    const std::vector<RoomMachine>& machines() const { return machines_; }
+    const RoomMachine* find(const std::string& id) const;
+    std::size_t add(RoomMachine m);
+
+    void take(std::size_t at, const Amount& need);
+    void give(std::size_t at, const Amount& need);
+    // Trials nest by position: revert(mark()) takes back all that came after.
+    std::size_t mark() const { return trail_.size(); }
+    void revert(std::size_t to);
+
+  private:
+    std::vector<RoomMachine> machines_;
+    std::unordered_map<std::string, std::size_t> by_id_;
+    std::vector<std::pair<std::size_t, Amount>> trail_;
+};
+
+// Where the tasks of one job are, for its zone rules. Tasks on machines that this node does not know
+// count in every zone: the rules hold wherever they are.
+struct ZoneUse {
+    std::map<std::string, std::uint32_t> by_zone;
+    std::uint32_t unknown = 0;
+    std::uint32_t total = 0;
+
+    static ZoneUse of(const JobEntry& e, const Room& room);
+    bool allows(const Job& j, const std::string& zone) const;
+    void add(const std::string& zone) {
+        ++by_zone[zone];
+        ++total;
+    }
+    void remove(const std::string& zone) {
+        --by_zone[zone];
+        --total;
+    }
+};
+
+// Type, zone and kind of machine; room and the job's other tasks are separate questions.
+bool may_run_on(const Job& j, const RoomMachine& m);
+
+}  // namespace hatchwind::core
--- /dev/null
+++ b/src/service/budget.hpp
@@ -0,0 +1,41 @@
+// A token bucket that may be overdrawn by requests that cannot wait.
+#pragma once
+
+#include <algorithm>
+
+#include "io/loop.hpp"
+
+namespace hatchwind::service {
+
+class Budget {
+  public:
+    Budget(double rate, double burst) : rate_(rate), burst_(burst), left_(burst) {}
+    void set(double rate, double burst) {
+        rate_ = rate;
+        burst_ = burst;
+        left_ = std::min(left_, burst_);
+    }
+    void spend(double n, io::Micros now) {
+        refill(now);
+        left_ -= n;
+    }
+    // How long until n can be spent; zero when now.
+    io::Micros wait(double n, io::Micros now) {
+        refill(now);
+        const double missing = std::min(n, burst_) - left_;
+        if (missing <= 0) return io::Micros{0};
+        return io::Micros{static_cast<std::int64_t>(missing / rate_ * 1e6) + 1000};
+    }
+
+  private:
+    void refill(io::Micros now) {
+        if (last_.count() != 0) {
+            left_ = std::min(burst_, left_ + rate_ * static_cast<double>((now - last_).count()) / 1e6);
+        }
+        last_ = now;
+    }
+    double rate_, burst_, left_;
+    io::Micros last_{0};
+};
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/mesh.hpp
@@ -0,0 +1,45 @@
+// The controllers' own network: one outgoing connection to each peer, frames of the mesh codec.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "service/membership.hpp"
+#include "service/node.hpp"
+
+namespace hatchwind::service {
+
+class Mesh {
+  public:
+    Mesh(Node& n, Membership& m);
+    io::Task<void> serve();
+    io::Task<void> beat();
+    void start(io::Scope& scope);
+    void forward(const core::WorkerReport& r, io::Micros heard);
+
+  private:
+    struct Link {
+        explicit Link(io::Loop& loop, Peer p) : peer(std::move(p)), filled(loop) {}
+        Peer peer;
+        std::string out;  // frames that wait; bounded
+        io::Signal filled;
+        bool connected = false;
+    };
+    io::Task<void> talk(Link& link);
+    io::Task<void> listen(io::Socket socket);
+    void handle(const std::string& from, wire::MeshMessage& m);
+    void push(Link& link, const wire::MeshMessage& m);
+    wire::MeshReport describe(const core::MachineView& v) const;
+
+    Node& n_;
+    Membership& membership_;
+    io::Listener listener_;
+    std::map<std::string, std::unique_ptr<Link>> links_;
+    io::Scope inbound_;
+    std::size_t inbound_open_ = 0;
+    std::uint64_t malformed_ = 0;
+};
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/owner.cpp
@@ -0,0 +1,378 @@
+#include "service/owner.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace hatchwind::service {
+
+using core::ExitCause;
+using core::Fate;
+using core::TaskState;
+using io::Micros;
+using io::steady_now;
+using io::Task;
+
+namespace {
+constexpr Micros kResendStart{1'200'000};
+constexpr Micros kResendStop{1'000'000};
+constexpr std::size_t kTxnBytes = 40 * 1024;  // of CBOR; the limit counts the longer JSON form
+}  // namespace
+
+core::Chunk& Owner::stage(Staged& s, const core::JobEntry& e, std::uint32_t chunk) {
+    const auto [it, fresh] = s.chunks.try_emplace({e.job.id, chunk});
+    if (fresh) {
+        if (const auto c = e.chunks.find(chunk); c != e.chunks.end()) it->second = c->second;
+    }
+    return it->second;
+}
+
+void Owner::close(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task, const core::Attempt& a,
+                  bool done) {
+    core::Chunk& c = stage(s, e, chunk);
+    c.open.erase(task);
+    if (done) c.done.insert(task);
+    s.closed.push_back({e.job.id, task, a});
+}
+
+void Owner::note_exit(const core::JobEntry& e, const core::Attempt& a, ExitCause cause) {
+    const Micros now = steady_now();
+    Trouble& m = machine_trouble_[a.machine];
+    switch (cause) {
+        case ExitCause::done:
+            machine_trouble_.erase(a.machine);
+            job_trouble_.erase(e.job.id);
+            break;
+        case ExitCause::no_room:
+            // Another owner was faster; its record arrives by the watch.
+            m.until = std::max(m.until, now + Micros{1'000'000});
+            break;
+        case ExitCause::busy: m.until = std::max(m.until, now + Micros{5'000'000}); break;
+        case ExitCause::unknown: job_trouble_[e.job.id].until = now + Micros{3'000'000}; break;
+        case ExitCause::error: {
+            // A faulty machine fails many jobs' tasks, a job with a mistake fails on many machines: both are
+            // tried ever more seldom, and neither stops the other for long.
+            Trouble& j = job_trouble_[e.job.id];
+            j.errors = std::min(j.errors + 1, 6);
+            j.jobs.insert(a.machine);
+            if (j.jobs.size() >= 2) j.until = now + Micros{500'000} * (1 << j.errors);
+            m.jobs.insert(e.job.id);
+            m.errors = std::min(m.errors + 1, 6);
+            // Errors of jobs that fail elsewhere too say little about this machine.
+            const bool machine_suspect = m.jobs.size() >= 2 || j.jobs.size() < 2;
+            if (machine_suspect) m.until = now + Micros{2'000'000} * (1 << m.errors);
+            spdlog::info("event=task_error job={} machine={} job_errors={} machine_errors={}", e.job.id, a.machine,
+                         j.errors, m.errors);
+            break;
+        }
+        default: break;
+    }
+}
+
+void Owner::stop(const std::string& job, std::uint32_t task, const core::Attempt& a, double grace_s, Micros every) {
+    Memo& memo = memos_[{job, task}];
+    const Micros now = steady_now();
+    if (memo.number != a.number) memo = Memo{a.number, Micros{0}, Micros{0}};
+    if (now - memo.last_stop < every) return;
+    memo.last_stop = now;
+    workers_.order(a.machine, a.session, {core::OrderKind::stop, job, task, a.number, grace_s});
+}
+
+void Owner::settle_attempt(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task,
+                           const core::Attempt& a) {
+    const Micros now = steady_now();
+    const auto v = core::view_attempt(n_.picture, e.job.id, task, a);
+    switch (v.fate) {
+        case Fate::exited:
+            note_exit(e, a, v.cause);
+            close(s, e, chunk, task, a, v.cause == ExitCause::done && e.job.kind != core::JobKind::service);
+            return;
+        case Fate::gone: close(s, e, chunk, task, a, false); return;
+        case Fate::silent:
+        case Fate::unlisted: {
+            const core::MachineView* m = n_.picture.find(a.machine);
+            const bool quiet = v.fate == Fate::silent || now - m->changed > Micros{3'000'000};
+            if (quiet && n_.lease_over(a.machine, io::wall_now())) {
+                spdlog::info("event=lease_over job={} task={} machine={}", e.job.id, task, a.machine);
+                close(s, e, chunk, task, a, false);
+                return;
+            }
+            if (v.fate == Fate::silent) return;
+            Memo& memo = memos_[{e.job.id, task}];
+            if (memo.number != a.number) memo = Memo{a.number, Micros{0}, Micros{0}};
+            if (e.job.cancelled) {
+                // Not started, and nothing of it under way under any token that the worker still takes.
+                if (!workers_.start_pending(e.job.id, task, a.number) && m->last.token >= n_.epoch.number) {
+                    close(s, e, chunk, task, a, false);
+                } else if (now - memo.last_stop >= kResendStop) {
+                    // Brings the worker to this token, and ends a start that is under way as soon as it arrives:
+                    // the same start first, so that the stop has something to end.
+                    memo.last_stop = now;
+                    if (workers_.start_pending(e.job.id, task, a.number)) {
+                        workers_.order(a.machine, a.session, {core::OrderKind::start, e.job.id, task, a.number, 0});
+                    }
+                    workers_.order(a.machine, a.session, {core::OrderKind::stop, e.job.id, task, a.number, 0});
+                }
+                return;
+            }
+            // A repeated start is harmless until a reap, and reaps follow the committed end only.
+            if (now - memo.last_start >= kResendStart) {
+                memo.last_start = now;
+                workers_.order(a.machine, a.session, {core::OrderKind::start, e.job.id, task, a.number, 0});
+            }
+            return;
+        }
+        case Fate::live: break;
+    }
+    if (e.job.cancelled) {
+        stop(e.job.id, task, a, 0, kResendStop);
+        return;
+    }
+    const core::MachineView* m = n_.picture.find(a.machine);
+    const bool saves = e.job.checkpoint_s > 0 && v.state == TaskState::running;
+    if (m->notice_until && v.state != TaskState::saving) {
+        // The cloud takes the machine: save at the last moment that surely suffices; what cannot save runs on.
+        const Micros need{static_cast<std::int64_t>((e.job.save_s + 3.0) * 1e6)};
+        if (saves && *m->notice_until - now < need) stop(e.job.id, task, a, e.job.save_s + 1.0, kResendStop * 5);
+        if (v.state == TaskState::fetching) stop(e.job.id, task, a, 0, kResendStop);
+    } else if (n_.draining.contains(a.machine) && v.state != TaskState::saving) {
+        // Draining: what saves is moved, services are moved, plain tasks may finish what they have done.
+        if (saves) stop(e.job.id, task, a, e.job.save_s + 1.0, kResendStop * 5);
+        if (e.job.kind == core::JobKind::service || v.state == TaskState::fetching) stop(e.job.id, task, a, 0, kResendStop);
+    }
+}
+
+void Owner::settle(Staged& s) {
+    for (const auto& [id, e] : n_.ledger.jobs()) {
+        if (!n_.owns(e.job.team)) continue;
+        for (const auto& [i, c] : e.chunks) {
+            for (const auto& [task, a] : c.open) settle_attempt(s, e, i, task, a);
+        }
+        std::uint32_t done = e.done;
+        std::uint32_t open = e.open;
+        for (const auto& [key, c] : s.chunks) {
+            if (key.first != id) continue;
+            const auto old = e.chunks.find(key.second);
+            done += c.done.size() - (old == e.chunks.end() ? 0 : old->second.done.size());
+            open -= static_cast<std::uint32_t>((old == e.chunks.end() ? 0 : old->second.open.size()) - c.open.size());
+        }
+        if (done == e.job.tasks || (e.job.cancelled && open == 0)) s.finished.push_back(id);
+    }
+}
+
+void Owner::place(Staged& s) {
+    core::PlacementInput in;
+    in.ledger = &n_.ledger;
+    in.picture = &n_.picture;
+    in.teams = &n_.settings.teams;
+    in.objectives = &n_.settings.objectives;
+    for (const auto& [name, team] : n_.settings.teams) {
+        if (n_.owns(name)) in.own_teams.insert(name);
+    }
+    in.now = steady_now();
+    in.wall = io::wall_now();
+    bool any = false;
+    for (const auto& [id, e] : n_.ledger.jobs()) {
+        any = any || (e.unstarted() > 0 && !e.job.cancelled && in.own_teams.contains(e.job.team));
+    }
+    if (!any) return;
+    for (const auto& [id, t] : job_trouble_) in.job_backoff[id] = t.until;
+    in.reservations = reservations_;
+    auto availability = n_.availability();
+    for (const auto& [id, t] : machine_trouble_) {
+        if (t.until > in.now) availability.banned_until[id] = t.until;
+    }
+    core::Room room = core::Room::build(n_.picture, n_.ledger, *n_.catalog, availability);
+    auto result = core::place(in, room);
+    reservations_ = std::move(result.reservations);
+    for (const auto& st : result.starts) {
+        const core::JobEntry& e = *n_.ledger.find(st.job);
+        core::Chunk& c = stage(s, e, st.task / core::kChunkTasks);
+        c.open[st.task] = st.attempt;
+        c.last_attempt = std::max(c.last_attempt, st.attempt.number);
+        s.opened_jobs.insert(st.job);
+    }
+    for (const auto& st : result.stops) {
+        spdlog::debug("event=preempt job={} task={} machine={}", st.job, st.task, st.attempt.machine);
+        workers_.order(st.attempt.machine, st.attempt.session,
+                       {core::OrderKind::stop, st.job, st.task, st.attempt.number, st.grace_s});
+    }
+}
+
+Task<bool> Owner::commit(Staged s) {
+    // Finished jobs: the end state replaces the job's records in one step. Chunk records beyond the limit
+    // are left as orphans, which the sweep removes.
+    std::set<std::string> finishing(s.finished.begin(), s.finished.end());
+    struct Group {
+        wire::Transaction t;
+        std::vector<wire::StoreItem> effects;
+        std::size_t bytes = 0;
+    };
+    std::vector<Group> groups;
+    const std::size_t most = n_.settings.txn_ops;
+    const auto begin = [&](std::size_t writes, std::size_t bytes) -> Group& {
+        if (groups.empty() || groups.back().t.writes.size() + writes > most ||
+            groups.back().t.conditions.size() + 2 * writes + 2 > 4 * most || groups.back().bytes + bytes > kTxnBytes) {
+            groups.emplace_back();
+            groups.back().t.conditions.emplace_back(keys::kEpoch, n_.epoch.stamp);
+        }
+        groups.back().bytes += bytes;
+        return groups.back();
+    };
+    for (const auto& id : s.finished) {
+        const core::JobEntry& e = *n_.ledger.find(id);
+        const std::size_t chunks = std::min(e.chunks.size(), most - 2);
+        const auto status = e.job.cancelled ? wire::JobStatus::cancelled : wire::JobStatus::done;
+        std::uint32_t done = 0;
+        for (const auto& [i, c] : e.chunks) {
+            const auto st = s.chunks.find({id, i});
+            done += st == s.chunks.end() ? c.done.size() : st->second.done.size();
+        }
+        Group& g = begin(2 + chunks, 200 + chunks * 64);
+        g.t.conditions.emplace_back(keys::job(id), e.stamp);
+        g.t.writes.push_back({keys::final(id), wire::final_record(status, done), 0});
+        g.t.writes.push_back({keys::job(id), std::nullopt, 0});
+        g.effects.push_back({keys::job(id), std::nullopt, 0});
+        std::size_t n = 0;
+        for (const auto& [i, c] : e.chunks) {
+            if (c.stamp == 0 || n++ >= chunks) continue;
+            g.t.conditions.emplace_back(keys::run(id, i), c.stamp);
+            g.t.writes.push_back({keys::run(id, i), std::nullopt, 0});
+            g.effects.push_back({keys::run(id, i), std::nullopt, 0});
+        }
+    }
+    for (auto& [key, c] : s.chunks) {
+        if (finishing.contains(key.first)) continue;
+        const core::JobEntry& e = *n_.ledger.find(key.first);
+        auto record = wire::chunk_record(c);
+        Group& g = begin(1, 100 + c.open.size() * 40 + c.done.ranges().size() * 8);
+        g.t.conditions.emplace_back(keys::run(key.first, key.second), c.stamp);
+        // A cancel that comes first must keep the start from being recorded; and so must the job's end.
+        g.t.conditions.emplace_back(keys::job(key.first), e.stamp);
+        g.t.writes.push_back({keys::run(key.first, key.second), record, 0});
+        g.effects.push_back({keys::run(key.first, key.second), std::move(record), 0});
+    }
+    for (auto& g : groups) {
+        while (true) {
+            auto task = n_.state.commit(g.t, steady_now() + Micros{3'000'000});
+            const CommitResult r = co_await std::move(task);
+            if (r.outcome == Commit::done) {
+                for (auto& e : g.effects) {
+                    e.stamp = r.revision;
+                    replica_.apply(e);
+                }
+                break;
+            }
+            if (r.outcome == Commit::unknown && n_.acting()) {
+                // It may have been carried out, or may be later: the same again until there is an answer. Its
+                // conditions make all but one copy fail.
+                co_await n_.loop.sleep(Micros{100'000});
+                continue;
+            }
+            if (r.outcome == Commit::conflict) {
+                auto reach = replica_.reach(r.revision, steady_now() + Micros{2'000'000});
+                co_await std::move(reach);
+            } else {
+                co_await n_.loop.sleep(Micros{150'000});
+            }
+            co_return false;
+        }
+    }
+    for (auto& c : s.closed) to_reap_.push_back(std::move(c));
+    co_return true;
+}
+
+void Owner::reap() {
+    // The end is committed. The exited attempt leaves the worker's list once no copy of its start can arrive.
+    std::erase_if(to_reap_, [&](const Closed& c) {
+        if (workers_.start_pending(c.job, c.task, c.attempt.number)) return false;
+        const auto v = core::view_attempt(n_.picture, c.job, c.task, c.attempt);
+        if (v.fate == Fate::exited) {
+            workers_.order(c.attempt.machine, c.attempt.session,
+                           {core::OrderKind::forget, c.job, c.task, c.attempt.number, 0});
+        }
+        return true;
+    });
+    const Micros now = steady_now();
+    if (now - last_sweep_ < Micros{2'000'000}) return;
+    last_sweep_ = now;
+    // Leftovers of earlier epochs. What is listed without an open record was closed by an earlier owner; its
+    // starts carried a lower token, so once the worker has ours none of them can still take effect.
+    std::map<std::tuple<std::string, std::string, std::uint32_t, std::uint64_t>, std::uint64_t> seen;
+    for (const auto& [id, m] : n_.picture.machines()) {
+        if (m.last.token < n_.epoch.number) continue;
+        for (const auto& t : m.last.tasks) {
+            const core::JobEntry* e = n_.ledger.find(t.job);
+            if (e != nullptr ? !n_.owns(e->job.team) : !n_.leads()) continue;
+            const core::Attempt* a = n_.ledger.open_attempt(t.job, t.task);
+            if (a != nullptr && a->number == t.attempt && a->machine == id) continue;
+            if (workers_.start_pending(t.job, t.task, t.attempt)) continue;
+            const auto key = std::tuple{id, t.job, t.task, t.attempt};
+            const auto before = strays_.find(key);
+            // An owner's own closings are reaped above; others only when first seen before this epoch.
+            const std::uint64_t first = before == strays_.end() ? n_.epoch.number : before->second;
+            seen[key] = first;
+            if (t.state == TaskState::exited) {
+                if (first < n_.epoch.number) {
+                    workers_.order(id, m.last.session, {core::OrderKind::forget, t.job, t.task, t.attempt, 0});
+                }
+            } else if (before != strays_.end()) {
+                spdlog::warn("event=stray_task job={} task={} attempt={} machine={}", t.job, t.task, t.attempt, id);
+                workers_.order(id, m.last.session, {core::OrderKind::stop, t.job, t.task, t.attempt, 0});
+            }
+        }
+    }
+    strays_ = std::move(seen);
+    std::erase_if(memos_, [&](const auto& m) { return n_.ledger.open_attempt(m.first.job, m.first.task) == nullptr; });
+    std::erase_if(job_trouble_, [&](const auto& t) { return n_.ledger.find(t.first) == nullptr; });
+    std::erase_if(machine_trouble_, [&](const auto& t) { return n_.picture.find(t.first) == nullptr; });
+}
+
+Task<void> Owner::run() {
+    while (true) {
+        co_await n_.work.wait(steady_now() + Micros{400'000});
+        // Close changes share one pass and one group commit.
+        co_await n_.loop.sleep(n_.tunables.pass_gap);
+        for (int round = 0; round < 4; ++round) {
+            if (!n_.acting() || !n_.catalog) break;
+            if (epoch_seen_ != n_.epoch.number) {
+                epoch_seen_ = n_.epoch.number;
+                memos_.clear();
+                reservations_.clear();
+            }
+            Staged s;
+            settle(s);
+            if (!n_.state.reachable(steady_now())) break;  // nothing new is placed in an outage
+            place(s);
+            if (s.chunks.empty() && s.finished.empty()) {
+                reap();
+                break;
+            }
+            auto task = commit(std::move(s));
+            const bool ok = co_await std::move(task);
+            if (!ok) break;
+            reap();
+        }
+        if (!n_.leads()) continue;
+        // Records of finished jobs that did not fit into the finishing transaction.
+        const auto orphans = n_.ledger.orphans();
+        if (orphans.empty()) continue;
+        wire::Transaction t;
+        std::vector<wire::StoreItem> effects;
+        t.conditions.emplace_back(keys::kEpoch, n_.epoch.stamp);
+        for (const auto& [key, stamp] : orphans) {
+            if (t.writes.size() >= std::min<std::size_t>(n_.settings.txn_ops, 8)) break;
+            t.conditions.emplace_back(keys::run(key.first, key.second), stamp);
+            t.writes.push_back({keys::run(key.first, key.second), std::nullopt, 0});
+            effects.push_back({keys::run(key.first, key.second), std::nullopt, 0});
+        }
+        auto task = n_.state.commit(std::move(t), steady_now() + Micros{1'000'000});
+        const CommitResult r = co_await std::move(task);
+        if (r.outcome == Commit::done) {
+            for (auto& e : effects) {
+                e.stamp = r.revision;
+                replica_.apply(e);
+            }
+        }
+    }
+}
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/replica.cpp
@@ -0,0 +1,165 @@
+#include "service/replica.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace hatchwind::service {
+
+using io::Micros;
+using io::steady_now;
+using io::Task;
+
+namespace {
+constexpr std::string_view kJob = "h/job/";
+constexpr std::string_view kRun = "h/run/";
+constexpr std::string_view kNode = "h/node/";
+constexpr std::string_view kMachine = "h/machine/";
+}  // namespace
+
+void Replica::apply(const wire::StoreItem& item) {
+    const std::string_view key = item.key;
+    bool ok = true;
+    if (key == keys::kEpoch) {
+        if (!item.value) return;
+        auto e = wire::parse_epoch_record(*item.value, item.stamp);
+        ok = e.has_value();
+        if (ok && e->stamp > n_.epoch.stamp) {
+            spdlog::info("event=epoch number={} leader={} members={} at={}", e->number, e->leader, e->members.size(),
+                         item.stamp);
+            n_.epoch = std::move(*e);
+            n_.state.share(n_.epoch.members.size());
+        }
+    } else if (key.starts_with(kNode)) {
+        const std::string label{key.substr(kNode.size())};
+        auto& record = n_.nodes[label];
+        if (record.stamp < item.stamp) {
+            record.stamp = item.value ? item.stamp : 0;
+            record.grant = item.value ? wire::whole(*item.value, "grant").value_or(0) : 0;
+        }
+        if (n_.nodes[label].stamp == 0) n_.nodes.erase(label);
+    } else if (key.starts_with(kJob)) {
+        const std::string id{key.substr(kJob.size())};
+        if (item.value) {
+            auto j = wire::parse_job_record(id, *item.value);
+            ok = j.has_value();
+            if (ok) n_.ledger.put_job(std::move(*j), item.stamp);
+        } else {
+            n_.ledger.erase_job(id, item.stamp);
+        }
+    } else if (key.starts_with(kRun)) {
+        const auto ref = wire::parse_task_name(key.substr(kRun.size()));
+        ok = ref.has_value();
+        if (ok && item.value) {
+            auto c = wire::parse_chunk_record(*item.value, item.stamp);
+            ok = c.has_value();
+            if (ok) n_.ledger.put_chunk(ref->first, ref->second, std::move(*c));
+        } else if (ok) {
+            n_.ledger.erase_chunk(ref->first, ref->second, item.stamp);
+        }
+    } else if (key.starts_with(kMachine)) {
+        const std::string id{key.substr(kMachine.size())};
+        if (item.value) {
+            n_.draining[id] = item.stamp;
+        } else {
+            n_.draining.erase(id);
+        }
+    }
+    if (!ok) spdlog::error("event=bad_record key={} stamp={}", item.key, item.stamp);
+}
+
+Task<bool> Replica::load() {
+    n_.synced = false;
+    std::vector<wire::StoreItem> all;
+    std::string after;
+    core::Stamp first = 0;
+    while (true) {
+        auto task = n_.state.page(keys::kRoot, after);
+        auto page = co_await std::move(task);
+        if (!page) co_return false;
+        // Changes after the first page's revision come again by the watch.
+        if (first == 0) first = page->revision;
+        for (auto& i : page->items) all.push_back(std::move(i));
+        if (!page->more || all.empty()) break;
+        after = all.back().key;
+    }
+    n_.ledger.clear();
+    n_.nodes.clear();
+    n_.draining.clear();
+    for (const auto& i : all) apply(i);
+    n_.revision = first;
+    n_.synced = true;
+    n_.synced_wall = io::wall_now();
+    n_.advanced.notify_all();
+    spdlog::info("event=copy_loaded keys={} revision={}", all.size(), first);
+    co_return true;
+}
+
+Task<void> Replica::run() {
+    bool loaded = false;
+    while (true) {
+        if (!loaded) {
+            auto task = load();
+            loaded = co_await std::move(task);
+            if (!loaded) {
+                co_await n_.loop.sleep(Micros{250'000});
+                continue;
+            }
+        }
+        const Micros opened = steady_now();
+        auto task = n_.state.watch(keys::kRoot, n_.revision, Micros{2'500'000});
+        const WatchResult w = co_await std::move(task);
+        if (w.too_old) {
+            spdlog::info("event=watch_too_old revision={}", n_.revision);
+            loaded = false;
+            continue;
+        }
+        if (!w.ok) {
+            co_await n_.loop.sleep(Micros{150'000});
+            continue;
+        }
+        for (const auto& i : w.page.items) apply(i);
+        n_.revision = std::max(n_.revision, w.page.revision);
+        n_.advanced.notify_all();
+        if (!w.page.items.empty()) {
+            n_.work.notify_all();
+            n_.fleet_work.notify_all();
+            // Opened watches count as requests: changes that come close together share one.
+            const Micros next = opened + n_.tunables.watch_gap;
+            if (next > steady_now()) co_await n_.hurry.wait(next);
+        }
+    }
+}
+
+Task<bool> Replica::reach(core::Stamp revision, Micros deadline) {
+    while (n_.revision < revision || !n_.synced) {
+        if (steady_now() >= deadline) co_return false;
+        n_.hurry.notify_all();
+        co_await n_.advanced.wait(deadline);
+    }
+    co_return true;
+}
+
+Task<bool> Replica::caught_up(Micros deadline) {
+    // One read in flight serves all that wait; whoever comes while it is under way needs the next one.
+    const std::uint64_t wanted = reads_ + (reading_ ? 2 : 1);
+    while (reads_ < wanted) {
+        if (steady_now() >= deadline) co_return false;
+        if (reading_) {
+            co_await read_done_.wait(deadline);
+            continue;
+        }
+        reading_ = true;
+        auto task = n_.state.get("h/~", std::min(deadline, steady_now() + Micros{900'000}));
+        const GetResult r = co_await std::move(task);
+        reading_ = false;
+        ++reads_;
+        read_ok_ = r.ok && !r.value;
+        if (read_ok_) read_revision_ = std::max(read_revision_, r.revision);
+        read_done_.notify_all();
+    }
+    if (!read_ok_) co_return false;
+    auto task = reach(read_revision_, deadline);
+    const bool ok = co_await std::move(task);
+    co_return ok;
+}
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/settings.hpp
@@ -0,0 +1,71 @@
+// The platform's settings file and the operators' own properties.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/drain_planner.hpp"
+#include "core/fleet_planner.hpp"
+#include "core/model.hpp"
+#include "io/socket.hpp"
+
+namespace hatchwind::service {
+
+// One line: the field, what was found, what is allowed.
+struct SettingsError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+struct Peer {
+    std::string label;
+    std::string zone;
+    io::Address address;
+};
+
+struct Settings {
+    std::string label;
+    std::string zone;
+    io::Address api;
+    io::Address mesh;
+    std::vector<Peer> peers;
+    io::Address cloud;
+    io::Address state;
+    std::map<std::string, core::Team> teams;
+    std::vector<std::string> zones;
+    std::vector<core::Objective> objectives;
+    double report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
+    double state_rps = 0, state_write_rps = 0, value_kb = 0;
+    std::size_t txn_ops = 0;
+    double cloud_rps = 0, list_lag_s = 0;
+    double cpu_share = 1, memory_mb = 0;
+    std::size_t max_connections = 0;
+    double skew_ms = 0;
+};
+
+Settings parse_settings(std::string_view json);
+
+// Operators' properties. Every key has a default; an unknown key is an error.
+struct Tunables {
+    core::Micros grant_life{2'500'000};
+    core::Micros renew_every{600'000};
+    core::Micros promise_life{1'500'000};
+    core::Micros pass_gap{25'000};
+    core::Micros watch_gap{100'000};
+    core::Micros silent_release{0};  // 0: from the workers' settings
+    core::DrainSettings drain;
+    core::Micros drain_loop{5'000'000};
+    core::Micros drain_bound{50'000};
+    core::FleetSettings fleet;
+};
+
+using Properties = std::map<std::string, std::string>;
+Properties parse_properties(std::string_view text);
+Tunables tune(const Properties& p, const Settings& s);
+
+std::string read_file(const std::string& path);
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/state_client.cpp
@@ -0,0 +1,171 @@
+#include "service/state_client.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace hatchwind::service {
+
+using io::Micros;
+using io::steady_now;
+using io::Task;
+
+namespace {
+constexpr Micros kCall{2'000'000};
+}
+
+StateClient::StateClient(io::Loop& loop, const Settings& s)
+    : loop_(loop), settings_(s), http_(loop, 6), requests_(1, 1), writes_(1, 1) {
+    share(s.peers.size() + 1);
+}
+
+void StateClient::share(std::size_t nodes) {
+    const double n = static_cast<double>(std::max<std::size_t>(nodes, 1));
+    // A little below the limits: other nodes' bursts fall into the same second.
+    requests_.set(settings_.state_rps * 0.9 / n, std::max(4.0, settings_.state_rps * 0.5 / n));
+    writes_.set(settings_.state_write_rps * 0.9 / n,
+                std::max(static_cast<double>(settings_.txn_ops), settings_.state_write_rps * 0.6 / n));
+}
+
+bool StateClient::reachable(Micros now) const {
+    return failing_since_.count() == 0 || now - failing_since_ < Micros{600'000};
+}
+
+Task<io::HttpReply> StateClient::call(std::string method, std::string target, std::string body, Micros deadline,
+                                      double writes, bool urgent, std::size_t most) {
+    io::HttpReply reply;
+    if (!urgent) {
+        while (true) {
+            const Micros now = steady_now();
+            const Micros wait = std::max(requests_.wait(1, now), writes > 0 ? writes_.wait(writes, now) : Micros{0});
+            if (wait.count() == 0) break;
+            if (now + wait >= deadline) {
+                reply.status = 429;  // our own budget: never sent
+                reply.never_sent = true;
+                co_return reply;
+            }
+            co_await loop_.sleep(wait);
+        }
+    }
+    requests_.spend(1, steady_now());
+    if (writes > 0) writes_.spend(writes, steady_now());
+    auto task = http_.send(settings_.state, std::move(method), std::move(target), std::move(body), deadline, most);
+    reply = co_await std::move(task);
+    const Micros now = steady_now();
+    if (reply.status == 0 || reply.status == 503) {
+        if (failing_since_.count() == 0) failing_since_ = now;
+    } else {
+        last_ok_ = now;
+        failing_since_ = Micros{0};
+    }
+    co_return reply;
+}
+
+std::optional<wire::Json> StateClient::parse(const io::HttpReply& r, const char* what) {
+    auto v = wire::decode(r.body);
+    if (!v) {
+        ++malformed_;
+        spdlog::warn("event=malformed_answer from=state call={} count={}", what, malformed_);
+    }
+    return v;
+}
+
+Task<GetResult> StateClient::get(std::string key, Micros deadline) {
+    GetResult out;
+    auto task = call("GET", "/store/" + key, "", deadline, 0, false);
+    const io::HttpReply r = co_await std::move(task);
+    if (r.status != 200 && r.status != 404) co_return out;
+    const auto v = parse(r, "get");
+    if (!v) co_return out;
+    if (r.status == 404) {
+        const auto revision = wire::whole(*v, "ledger");
+        if (!revision) co_return out;
+        out.ok = true;
+        out.revision = *revision;
+        co_return out;
+    }
+    const auto stamp = wire::whole(*v, "stamp");
+    if (!stamp || !v->contains("v")) co_return out;
+    out.ok = true;
+    out.value = (*v)["v"];
+    out.stamp = *stamp;
+    co_return out;
+}
+
+Task<std::optional<wire::StorePage>> StateClient::page(std::string prefix, std::string after) {
+    std::string target = "/store?starts=" + prefix;
+    if (!after.empty()) target += "&after=" + after;
+    target += "&most=1000";
+    auto task = call("GET", std::move(target), "", steady_now() + kCall, 0, false);
+    const io::HttpReply r = co_await std::move(task);
+    if (r.status != 200) co_return std::nullopt;
+    const auto v = parse(r, "list");
+    if (!v) co_return std::nullopt;
+    co_return wire::parse_page(*v);
+}
+
+Task<CommitResult> StateClient::commit(wire::Transaction t, Micros deadline) {
+    CommitResult out;
+    const auto writes = static_cast<double>(t.writes.size());
+    auto task = call("POST", "/commit", wire::encode(wire::transaction_request(t)), deadline, writes, false);
+    const io::HttpReply r = co_await std::move(task);
+    if (r.status == 429 || r.status == 503 || r.never_sent) {
+        out.outcome = Commit::not_now;
+        co_return out;
+    }
+    if (r.status == 400) {
+        spdlog::warn("event=commit_refused body={}", r.body.substr(0, 80));
+        out.outcome = Commit::refused;
+        co_return out;
+    }
+    if (r.status != 200 && r.status != 409) co_return out;
+    const auto v = parse(r, "commit");
+    const auto revision = v ? wire::whole(*v, "ledger") : std::nullopt;
+    if (!revision) co_return out;
+    out.outcome = r.status == 200 ? Commit::done : Commit::conflict;
+    out.revision = *revision;
+    co_return out;
+}
+
+Task<std::optional<std::uint64_t>> StateClient::grant(Micros life) {
+    wire::Json body{{"lifeMs", life.count() / 1000}};
+    auto task = call("POST", "/grants", wire::encode(body), steady_now() + kCall, 0, true);
+    const io::HttpReply r = co_await std::move(task);
+    if (r.status != 200) co_return std::nullopt;
+    const auto v = parse(r, "grant");
+    if (!v) co_return std::nullopt;
+    co_return wire::whole(*v, "tenure");
+}
+
+Task<StateClient::Renewal> StateClient::renew(std::uint64_t grant, Micros deadline) {
+    auto task = call("POST", "/grants/" + std::to_string(grant) + "/renew", "", deadline, 0, true);
+    const io::HttpReply r = co_await std::move(task);
+    if (r.status == 200) co_return Renewal::done;
+    co_return r.status == 404 ? Renewal::ended : Renewal::failed;
+}
+
+Task<void> StateClient::end_grant(std::uint64_t grant) {
+    auto task = call("DELETE", "/grants/" + std::to_string(grant), "", steady_now() + kCall, 0, true);
+    co_await std::move(task);
+}
+
+Task<WatchResult> StateClient::watch(std::string prefix, core::Stamp after, Micros block) {
+    WatchResult out;
+    std::string target = "/watch?starts=" + prefix + "&after=" + std::to_string(after) +
+                         "&blockMs=" + std::to_string(block.count() / 1000);
+    // Open watches stay open through an outage, so silence is no failure; but a watch behind a cut must end.
+    auto task = call("GET", std::move(target), "", steady_now() + block + Micros{3'000'000}, 0, true, 16U << 20U);
+    const io::HttpReply r = co_await std::move(task);
+    if (r.status == 410) {
+        out.too_old = true;
+        co_return out;
+    }
+    if (r.status != 200) co_return out;
+    const auto v = parse(r, "watch");
+    if (!v) co_return out;
+    auto page = wire::parse_watch(*v);
+    if (!page) co_return out;
+    out.ok = true;
+    out.page = std::move(*page);
+    co_return out;
+}
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/state_client.hpp
@@ -0,0 +1,75 @@
+// The state service: its calls, its budgets, and what each answer proves.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "io/http.hpp"
+#include "service/budget.hpp"
+#include "service/settings.hpp"
+#include "wire/messages.hpp"
+
+namespace hatchwind::service {
+
+enum class Commit : std::uint8_t {
+    done,
+    conflict,  // not executed, and a condition failed
+    refused,   // not executed: malformed, or the grant has ended
+    not_now,   // not executed: outage or budget
+    unknown,   // no answer: may have been executed, or may be later
+};
+
+struct CommitResult {
+    Commit outcome = Commit::unknown;
+    core::Stamp revision = 0;
+};
+
+struct GetResult {
+    bool ok = false;  // an answer came: the value, or certainty that there is none
+    std::optional<wire::Json> value;
+    core::Stamp stamp = 0;
+    core::Stamp revision = 0;  // with no value
+};
+
+struct WatchResult {
+    bool ok = false;
+    bool too_old = false;
+    wire::StorePage page;
+};
+
+class StateClient {
+  public:
+    StateClient(io::Loop& loop, const Settings& s);
+
+    io::Task<GetResult> get(std::string key, io::Micros deadline);
+    io::Task<std::optional<wire::StorePage>> page(std::string prefix, std::string after);
+    io::Task<CommitResult> commit(wire::Transaction t, io::Micros deadline);
+    io::Task<std::optional<std::uint64_t>> grant(io::Micros life);
+    enum class Renewal : std::uint8_t { done, ended, failed };
+    io::Task<Renewal> renew(std::uint64_t grant, io::Micros deadline);
+    io::Task<void> end_grant(std::uint64_t grant);
+    io::Task<WatchResult> watch(std::string prefix, core::Stamp after, io::Micros block);
+
+    // The limits are for all nodes together.
+    void share(std::size_t nodes);
+    bool reachable(io::Micros now) const;
+    io::Micros last_ok() const { return last_ok_; }
+    io::Micros failing_since() const { return failing_since_; }
+    std::uint64_t malformed() const { return malformed_; }
+
+  private:
+    io::Task<io::HttpReply> call(std::string method, std::string target, std::string body, io::Micros deadline,
+                                 double writes, bool urgent, std::size_t most = 4U << 20U);
+    std::optional<wire::Json> parse(const io::HttpReply& r, const char* what);
+
+    io::Loop& loop_;
+    const Settings& settings_;
+    io::HttpClient http_;
+    Budget requests_;
+    Budget writes_;
+    io::Micros last_ok_{0};
+    io::Micros failing_since_{0};  // 0: the last call was answered
+    std::uint64_t malformed_ = 0;
+};
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/users_api.cpp
@@ -0,0 +1,234 @@
+#include "service/users_api.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace hatchwind::service {
+
+using io::HttpResponse;
+using io::Micros;
+using io::steady_now;
+using io::Task;
+
+namespace {
+
+constexpr std::size_t kSubmitting = 64;
+constexpr std::size_t kPolling = 256;
+constexpr std::size_t kFinalsKept = 1000;
+constexpr std::size_t kJsonLimit = 64 * 1024;
+
+HttpResponse plain(int status) {
+    HttpResponse r;
+    r.status = status;
+    return r;
+}
+HttpResponse later(int status = 503) {
+    HttpResponse r;
+    r.status = status;
+    r.retry_after_s = 1;
+    return r;
+}
+HttpResponse with_body(int status, const wire::Json& v) {
+    HttpResponse r;
+    r.status = status;
+    r.body = wire::encode(v);
+    return r;
+}
+
+struct Counted {
+    std::size_t& n;
+    explicit Counted(std::size_t& c) : n(c) { ++n; }
+    ~Counted() { --n; }
+    Counted(const Counted&) = delete;
+    Counted& operator=(const Counted&) = delete;
+};
+
+}  // namespace
+
+std::optional<std::string> UsersApi::impossible(const core::Job& j) const {
+    const auto team = n_.settings.teams.find(j.team);
+    if (team == n_.settings.teams.end()) return "unknown team";
+    bool fits = false;
+    for (const auto& [name, t] : *n_.catalog) {
+        if (!j.allows_type(name) || !j.need.fits_in(t.size)) continue;
+        for (const auto& z : t.zones) fits = fits || !j.zone || *j.zone == z;
+    }
+    if (!fits) return "fits no allowed machine type";
+    const double k = j.kind == core::JobKind::array ? 1.0 : static_cast<double>(j.tasks);
+    if (j.need.cpus * k > team->second.cpus_max + core::kSlack || j.need.gpus * k > team->second.gpus_max + core::kSlack) {
+        return "needs more than the team's limit";
+    }
+    return std::nullopt;
+}
+
+HttpResponse UsersApi::describe(const core::JobEntry& e, int status) const {
+    std::uint32_t running = 0;
+    for (const auto& [i, c] : e.chunks) {
+        for (const auto& [task, a] : c.open) {
+            const auto v = core::view_attempt(n_.picture, e.job.id, task, a);
+            running += v.fate == core::Fate::live && v.state == core::TaskState::running ? 1 : 0;
+        }
+    }
+    const auto s = e.job.cancelled ? wire::JobStatus::cancelled
+                   : running > 0   ? wire::JobStatus::running
+                                   : wire::JobStatus::queued;
+    return with_body(status, wire::job_answer(e.job.id, s, e.done, running));
+}
+
+Task<UsersApi::Lookup> UsersApi::find_final(std::string id, Final& into, Micros deadline) {
+    if (const auto it = finals_.find(id); it != finals_.end()) {
+        into = it->second;
+        co_return Lookup::found;
+    }
+    auto task = n_.state.get(keys::final(id), deadline);
+    const GetResult r = co_await std::move(task);
+    if (!r.ok) co_return Lookup::failed;
+    if (!r.value) co_return Lookup::absent;
+    const auto f = wire::parse_final_record(*r.value);
+    if (!f) co_return Lookup::failed;
+    into = {f->first, f->second};
+    if (finals_.emplace(id, into).second) {
+        final_order_.push_back(id);
+        if (final_order_.size() > kFinalsKept) {
+            finals_.erase(final_order_.front());
+            final_order_.pop_front();
+        }
+    }
+    co_return Lookup::found;
+}
+
+Task<HttpResponse> UsersApi::submit(io::HttpRequest request) {
+    if (request.body_too_large) co_return plain(400);
+    if (submitting_ >= kSubmitting) co_return later(429);
+    const Counted counted{submitting_};
+    const auto v = wire::decode(request.body);
+    if (!v) co_return plain(400);
+    // Limits count the JSON form, which is never much shorter than the CBOR form.
+    if (request.body.size() > kJsonLimit / 8 &&
+        v->dump(-1, ' ', false, wire::Json::error_handler_t::replace).size() > kJsonLimit) {
+        co_return plain(400);
+    }
+    auto parsed = wire::parse_submission(*v);
+    if (const auto* wrong = std::get_if<std::string>(&parsed)) {
+        co_return with_body(400, {{"error", "invalid field " + *wrong}});
+    }
+    core::Job job = std::get<core::Job>(std::move(parsed));
+    if (!n_.catalog || !n_.synced) co_return later();
+    if (const auto why = impossible(job)) co_return with_body(422, {{"error", *why}});
+    if (job.types) {
+        // Types that the cloud does not have add nothing, and a long list would pass the value limit.
+        std::erase_if(*job.types, [&](const std::string& t) { return !n_.catalog->contains(t); });
+    }
+    if (!n_.state.reachable(steady_now())) co_return later();
+    const Micros deadline = steady_now() + Micros{2'500'000};
+    const std::string id = job.id;
+    if (n_.ledger.find(id) == nullptr) {
+        job.accepted = io::wall_now();
+        wire::Transaction t;
+        t.conditions = {{keys::job(id), 0}, {keys::final(id), 0}};
+        t.writes.push_back({keys::job(id), wire::job_record(job), 0});
+        auto task = n_.state.commit(std::move(t), deadline);
+        const CommitResult r = co_await std::move(task);
+        if (r.outcome == Commit::done) {
+            replica_.apply({keys::job(id), wire::job_record(job), r.revision});
+            n_.work.notify_all();
+            n_.fleet_work.notify_all();
+            co_return with_body(201, wire::job_answer(id, wire::JobStatus::queued));
+        }
+        // Whether an unanswered commit was carried out, the user's next try will find out.
+        if (r.outcome != Commit::conflict) co_return later();
+        auto reach = replica_.reach(r.revision, deadline);
+        const bool reached = co_await std::move(reach);
+        if (!reached) co_return later();
+    } else {
+        auto index = replica_.caught_up(deadline);
+        const bool current = co_await std::move(index);
+        if (!current) co_return later();
+    }
+    if (const auto* e = n_.ledger.find(id)) co_return describe(*e, 200);
+    Final f{};
+    auto lookup = find_final(id, f, deadline);
+    const Lookup found = co_await std::move(lookup);
+    if (found != Lookup::found) co_return later();
+    co_return with_body(200, wire::job_answer(id, f.status, f.done, 0));
+}
+
+Task<HttpResponse> UsersApi::poll(std::string id) {
+    if (!wire::is_job_id(id)) co_return plain(404);
+    if (polling_ >= kPolling) co_return later(429);
+    const Counted counted{polling_};
+    if (!n_.synced) co_return later();
+    Final f{};
+    if (const auto it = finals_.find(id); it != finals_.end()) {
+        co_return with_body(200, wire::job_answer(id, it->second.status, it->second.done, 0));
+    }
+    if (!n_.state.reachable(steady_now())) co_return later();
+    const Micros deadline = steady_now() + Micros{1'700'000};
+    auto index = replica_.caught_up(deadline);
+    const bool current = co_await std::move(index);
+    if (!current) co_return later();
+    if (const auto* e = n_.ledger.find(id)) co_return describe(*e, 200);
+    auto lookup = find_final(id, f, deadline);
+    const Lookup found = co_await std::move(lookup);
+    if (found == Lookup::failed) co_return later();
+    if (found == Lookup::absent) co_return plain(404);
+    co_return with_body(200, wire::job_answer(id, f.status, f.done, 0));
+}
+
+Task<HttpResponse> UsersApi::cancel(std::string id) {
+    if (!wire::is_job_id(id)) co_return plain(404);
+    if (submitting_ >= kSubmitting) co_return later(429);
+    const Counted counted{submitting_};
+    if (!n_.synced || !n_.state.reachable(steady_now())) co_return later();
+    const Micros deadline = steady_now() + Micros{2'500'000};
+    for (int attempt = 0; attempt < 4; ++attempt) {
+        const core::JobEntry* e = n_.ledger.find(id);
+        if (e == nullptr) {
+            auto index = replica_.caught_up(deadline);
+            const bool current = co_await std::move(index);
+            if (!current) co_return later();
+            e = n_.ledger.find(id);
+        }
+        if (e == nullptr) {
+            Final f{};
+            auto lookup = find_final(id, f, deadline);
+            const Lookup found = co_await std::move(lookup);
+            if (found == Lookup::failed) co_return later();
+            if (found == Lookup::absent) co_return plain(404);
+            co_return with_body(200, wire::job_answer(id, f.status));
+        }
+        if (e->job.cancelled) co_return with_body(200, wire::job_answer(id, wire::JobStatus::cancelled));
+        core::Job job = e->job;
+        job.cancelled = true;
+        job.cancelled_at = io::wall_now();
+        wire::Transaction t;
+        t.conditions = {{keys::job(id), e->stamp}};
+        t.writes.push_back({keys::job(id), wire::job_record(job), 0});
+        auto task = n_.state.commit(std::move(t), deadline);
+        const CommitResult r = co_await std::move(task);
+        if (r.outcome == Commit::done) {
+            replica_.apply({keys::job(id), wire::job_record(job), r.revision});
+            n_.work.notify_all();
+            co_return with_body(200, wire::job_answer(id, wire::JobStatus::cancelled));
+        }
+        if (r.outcome != Commit::conflict) co_return later();
+        // It was finished or cancelled elsewhere in between.
+        auto reach = replica_.reach(r.revision, deadline);
+        const bool reached = co_await std::move(reach);
+        if (!reached) co_return later();
+    }
+    co_return later();
+}
+
+HttpResponse UsersApi::health() const {
+    const Micros now = steady_now();
+    if (!n_.synced || !n_.catalog) return plain(503);
+    if (!n_.state.reachable(now)) {
+        // With every node in the same trouble, leaving the load balancer's list only makes the return slower.
+        for (const auto& [label, p] : n_.peers) {
+            if (n_.peer_fresh(label, now) && p.beat.state_ok) return plain(503);
+        }
+    }
+    return plain(200);
+}
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/workers.hpp
@@ -0,0 +1,42 @@
+// Dealings with workers: their reports, and orders sent straight to them.
+#pragma once
+
+#include <map>
+#include <set>
+
+#include "service/node.hpp"
+
+namespace hatchwind::service {
+
+class Workers {
+  public:
+    Workers(Node& n, io::Scope& scope) : n_(n), scope_(scope) {}
+
+    io::Task<io::HttpResponse> hello(std::string body);
+    // Queues an order; a routine for that machine sends it. Only ever for attempts that are recorded.
+    void order(const std::string& machine, std::uint64_t session, core::Order o);
+    // True while a copy of this attempt's start, sent under the current epoch, may still be under way: then a
+    // reap could be followed by a second start.
+    bool start_pending(const std::string& job, std::uint32_t task, std::uint64_t attempt) const;
+    // Watches whether this node can reach workers at all.
+    io::Task<void> watch_reach();
+    std::uint64_t malformed() const { return malformed_; }
+
+  private:
+    struct Outbox {
+        std::uint64_t session = 0;
+        std::vector<core::Order> orders;
+        bool busy = false;
+    };
+    using AttemptKey = std::tuple<std::string, std::uint32_t, std::uint64_t>;
+    io::Task<void> send(std::string machine);
+    void absorb_answer(const std::string& body);
+
+    Node& n_;
+    io::Scope& scope_;
+    std::map<std::string, Outbox> outboxes_;
+    std::map<AttemptKey, std::uint64_t> unanswered_;  // start -> epoch under which it was sent
+    std::uint64_t malformed_ = 0;
+};
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/wire/mesh_codec.cpp
@@ -0,0 +1,280 @@
+#include "wire/mesh_codec.hpp"
+
+#include <bit>
+#include <cmath>
+
+namespace hatchwind::wire {
+
+namespace {
+
+enum class Kind : std::uint8_t { hello = 1, beat = 2, report = 3, ask = 4, promise = 5 };
+
+class Writer {
+  public:
+    explicit Writer(Kind k) { out_.push_back(static_cast<char>(k)); }
+    void u(std::uint64_t v) {
+        while (v >= 0x80) {
+            out_.push_back(static_cast<char>((v & 0x7fU) | 0x80U));
+            v >>= 7U;
+        }
+        out_.push_back(static_cast<char>(v));
+    }
+    // Zigzag: small negative numbers stay short.
+    void i(std::int64_t v) { u((static_cast<std::uint64_t>(v) << 1U) ^ static_cast<std::uint64_t>(v >> 63)); }
+    void b(bool v) { u(v ? 1 : 0); }
+    void f(double v) { u(std::bit_cast<std::uint64_t>(v)); }
+    void s(std::string_view v) {
+        u(v.size());
+        out_.append(v);
+    }
+    std::string frame() const {
+        Writer head;
+        head.u(out_.size());
+        return head.out_ + out_;
+    }
+
+  private:
+    Writer() = default;
+    std::string out_;
+};
+
+class Reader {
+  public:
+    explicit Reader(std::string_view in) : in_(in) {}
+    std::uint64_t u() {
+        std::uint64_t v = 0;
+        for (unsigned shift = 0; shift < 64; shift += 7) {
+            if (at_ >= in_.size()) break;
+            const auto c = static_cast<std::uint8_t>(in_[at_++]);
+            if (shift == 63 && c > 1) break;
+            v |= static_cast<std::uint64_t>(c & 0x7fU) << shift;
+            if ((c & 0x80U) == 0) return v;
+        }
+        ok_ = false;
+        return 0;
+    }
+    std::int64_t i() {
+        const auto v = u();
+        return static_cast<std::int64_t>(v >> 1U) ^ -static_cast<std::int64_t>(v & 1U);
+    }
+    bool b() {
+        const auto v = u();
+        if (v > 1) ok_ = false;
+        return v == 1;
+    }
+    double f() {
+        const double v = std::bit_cast<double>(u());
+        if (!std::isfinite(v)) ok_ = false;
+        return v;
+    }
+    std::string s() {
+        const auto n = u();
+        if (!ok_ || n > in_.size() - at_) {
+            ok_ = false;
+            return {};
+        }
+        std::string out{in_.substr(at_, n)};
+        at_ += n;
+        return out;
+    }
+    // A count of items, each of which takes at least one byte.
+    std::uint64_t count() {
+        const auto n = u();
+        if (n > in_.size() - at_) ok_ = false;
+        return ok_ ? n : 0;
+    }
+    // Later versions may add fields at the end, so bytes left over are no error.
+    bool ok() const { return ok_; }
+
+  private:
+    std::string_view in_;
+    std::size_t at_ = 0;
+    bool ok_ = true;
+};
+
+void put(Writer& w, const MeshHello& m) {
+    w.u(m.version);
+    w.s(m.label);
+}
+void put(Writer& w, const MeshBeat& m) {
+    w.s(m.label);
+    w.u(m.grant);
+    w.i(m.wall_us);
+    w.u(m.epoch);
+    w.b(m.state_ok);
+    w.b(m.fit);
+    w.b(m.resigned);
+    w.u(m.answered.size());
+    for (const auto& [machine, at] : m.answered) {
+        w.s(machine);
+        w.i(m.wall_us - at);  // ages are shorter than times
+    }
+    w.u(m.released.size());
+    for (const auto& r : m.released) w.s(r);
+    w.u(m.candidates.size());
+    for (const auto& c : m.candidates) w.s(c);
+}
+void put(Writer& w, const MeshReport& m) {
+    const auto& r = m.report;
+    w.s(r.machine);
+    w.s(r.address);
+    w.s(r.type);
+    w.s(r.zone);
+    w.b(r.spot);
+    w.u(r.session);
+    w.u(r.tick);
+    w.u(r.token);
+    w.b(r.notice_s.has_value());
+    if (r.notice_s) w.f(*r.notice_s);
+    w.i(m.heard_us);
+    w.u(r.tasks.size());
+    for (const auto& t : r.tasks) {
+        w.s(t.job);
+        w.u(t.task);
+        w.u(t.attempt);
+        w.u(static_cast<std::uint64_t>(t.state));
+        w.u(static_cast<std::uint64_t>(t.cause));
+        w.b(t.saved);
+    }
+    w.u(m.images.size());
+    for (const auto& [image, gb] : m.images) {
+        w.s(image);
+        w.f(gb);
+    }
+}
+void put(Writer& w, const MeshAsk& m) {
+    w.u(m.number);
+    w.u(m.life_us);
+}
+void put(Writer& w, const MeshPromise& m) {
+    w.u(m.number);
+    w.b(m.given);
+}
+
+MeshBeat get_beat(Reader& r) {
+    MeshBeat m;
+    m.label = r.s();
+    m.grant = r.u();
+    m.wall_us = r.i();
+    m.epoch = r.u();
+    m.state_ok = r.b();
+    m.fit = r.b();
+    m.resigned = r.b();
+    for (auto n = r.count(); n > 0 && r.ok(); --n) {
+        auto machine = r.s();
+        const auto age = r.i();
+        m.answered.emplace_back(std::move(machine), m.wall_us - age);
+    }
+    for (auto n = r.count(); n > 0 && r.ok(); --n) m.released.push_back(r.s());
+    for (auto n = r.count(); n > 0 && r.ok(); --n) m.candidates.push_back(r.s());
+    return m;
+}
+
+std::optional<MeshReport> get_report(Reader& r) {
+    MeshReport m;
+    auto& w = m.report;
+    w.machine = r.s();
+    w.address = r.s();
+    w.type = r.s();
+    w.zone = r.s();
+    w.spot = r.b();
+    w.session = r.u();
+    w.tick = r.u();
+    w.token = r.u();
+    if (r.b()) w.notice_s = r.f();
+    m.heard_us = r.i();
+    for (auto n = r.count(); n > 0 && r.ok(); --n) {
+        core::TaskReport t;
+        t.job = r.s();
+        t.task = static_cast<std::uint32_t>(r.u());
+        t.attempt = r.u();
+        const auto state = r.u();
+        const auto cause = r.u();
+        t.saved = r.b();
+        if (state > static_cast<std::uint64_t>(core::TaskState::exited) ||
+            cause > static_cast<std::uint64_t>(core::ExitCause::unknown)) {
+            return std::nullopt;
+        }
+        t.state = static_cast<core::TaskState>(state);
+        t.cause = static_cast<core::ExitCause>(cause);
+        w.tasks.push_back(std::move(t));
+    }
+    for (auto n = r.count(); n > 0 && r.ok(); --n) {
+        auto image = r.s();
+        const double gb = r.f();
+        m.images.emplace_back(std::move(image), gb);
+    }
+    return m;
+}
+
+std::optional<MeshMessage> parse(std::string_view payload) {
+    if (payload.empty()) return std::nullopt;
+    Reader r{payload.substr(1)};
+    std::optional<MeshMessage> out;
+    switch (static_cast<Kind>(payload[0])) {
+        case Kind::hello: {
+            MeshHello m;
+            m.version = r.u();
+            m.label = r.s();
+            out = m;
+            break;
+        }
+        case Kind::beat: out = get_beat(r); break;
+        case Kind::report:
+            if (auto m = get_report(r)) out = std::move(*m);
+            break;
+        case Kind::ask: {
+            MeshAsk m;
+            m.number = r.u();
+            m.life_us = r.u();
+            out = m;
+            break;
+        }
+        case Kind::promise: {
+            MeshPromise m;
+            m.number = r.u();
+            m.given = r.b();
+            out = m;
+            break;
+        }
+    }
+    if (!r.ok()) return std::nullopt;
+    return out;
+}
+
+}  // namespace
+
+std::string encode_frame(const MeshMessage& m) {
+    static constexpr Kind kinds[] = {Kind::hello, Kind::beat, Kind::report, Kind::ask, Kind::promise};
+    Writer w{kinds[m.index()]};
+    std::visit([&](const auto& v) { put(w, v); }, m);
+    return w.frame();
+}
+
+std::optional<MeshMessage> FrameReader::next() {
+    if (broken_) return std::nullopt;
+    std::uint64_t length = 0;
+    std::size_t used = 0;
+    while (true) {
+        if (used >= buffer_.size()) return std::nullopt;
+        const auto c = static_cast<std::uint8_t>(buffer_[used]);
+        length |= static_cast<std::uint64_t>(c & 0x7fU) << (7 * used);
+        ++used;
+        if ((c & 0x80U) == 0) break;
+        if (used == 4) {
+            broken_ = true;
+            return std::nullopt;
+        }
+    }
+    if (length == 0 || length > kMeshFrameBytes) {
+        broken_ = true;
+        return std::nullopt;
+    }
+    if (buffer_.size() - used < length) return std::nullopt;
+    auto out = parse(std::string_view(buffer_).substr(used, length));
+    if (!out) broken_ = true;
+    buffer_.erase(0, used + length);
+    return out;
+}
+
+}  // namespace hatchwind::wire
--- /dev/null
+++ b/src/wire/messages.cpp
@@ -0,0 +1,519 @@
+#include "wire/messages.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+namespace hatchwind::wire {
+
+namespace {
+
+using core::ExitCause;
+using core::TaskState;
+
+constexpr std::size_t kNameBytes = 256;
+constexpr double kMost = 1e9;  // amounts and durations beyond this are mistakes
+
+std::optional<std::uint32_t> to_index(std::string_view s) {
+    std::uint32_t v = 0;
+    const auto [end, ec] = std::from_chars(s.data(), s.data() + s.size(), v);
+    if (ec != std::errc{} || end != s.data() + s.size() || s.empty()) return std::nullopt;
+    return v;
+}
+
+std::optional<TaskState> task_state(const std::string& s) {
+    if (s == "fetching") return TaskState::fetching;
+    if (s == "gathering") return TaskState::waiting;
+    if (s == "running") return TaskState::running;
+    if (s == "flushing") return TaskState::saving;
+    if (s == "exited") return TaskState::exited;
+    return std::nullopt;
+}
+
+ExitCause exit_cause(const std::string& s) {
+    if (s == "done") return ExitCause::done;
+    if (s == "stopped") return ExitCause::stopped;
+    if (s == "peers") return ExitCause::peers;
+    if (s == "alone") return ExitCause::alone;
+    if (s == "no_room") return ExitCause::no_room;
+    if (s == "in_use") return ExitCause::busy;
+    if (s == "unknown") return ExitCause::unknown;
+    return ExitCause::error;  // new causes count as failures
+}
+
+const char* order_name(core::OrderKind k) {
+    switch (k) {
+        case core::OrderKind::start: return "start";
+        case core::OrderKind::stop: return "halt";
+        case core::OrderKind::forget: return "reap";
+    }
+    return "";
+}
+
+std::optional<std::vector<std::string>> texts(const Json* l) {
+    if (l == nullptr) return std::nullopt;
+    std::vector<std::string> out;
+    for (const auto& v : *l) {
+        if (!v.is_string()) return std::nullopt;
+        out.push_back(v.get<std::string>());
+    }
+    return out;
+}
+
+}  // namespace
+
+bool is_job_id(std::string_view id) {
+    constexpr std::string_view prefix = "req-";
+    if (!id.starts_with(prefix) || id.size() < prefix.size() + 1 || id.size() > 40) return false;
+    id.remove_prefix(prefix.size());
+    return std::all_of(id.begin(), id.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+std::variant<core::Job, std::string> parse_submission(const Json& v) {
+    if (!v.is_object()) return std::string{"body"};
+    core::Job j;
+    std::string wrong;
+    const auto take_text = [&](const char* key, std::string& into) {
+        auto t = text(v, key);
+        if (t && !t->empty() && t->size() <= kNameBytes) {
+            into = std::move(*t);
+        } else if (wrong.empty()) {
+            wrong = key;
+        }
+    };
+    const auto take_number = [&](const char* key, double& into) {
+        const auto n = number(v, key);
+        if (n && *n >= 0 && *n <= kMost) {
+            into = *n;
+        } else if (wrong.empty()) {
+            wrong = key;
+        }
+    };
+    const auto take_flag = [&](const char* key, bool& into) {
+        const auto f = flag(v, key);
+        if (f) {
+            into = *f;
+        } else if (wrong.empty()) {
+            wrong = key;
+        }
+    };
+    take_text("id", j.id);
+    if (wrong.empty() && !is_job_id(j.id)) wrong = "id";
+    take_text("flock", j.job_class);
+    take_text("crew", j.team);
+    std::string kind;
+    take_text("form", kind);
+    if (kind == "sweep") {
+        j.kind = core::JobKind::array;
+    } else if (kind == "ensemble") {
+        j.kind = core::JobKind::gang;
+    } else if (kind == "service") {
+        j.kind = core::JobKind::service;
+    } else if (wrong.empty()) {
+        wrong = "form";
+    }
+    std::string rank;
+    take_text("rank", rank);
+    if (rank == "prod") {
+        j.priority = core::Priority::production;
+    } else if (rank == "high") {
+        j.priority = core::Priority::high;
+    } else if (rank == "normal") {
+        j.priority = core::Priority::normal;
+    } else if (rank == "best_effort") {
+        j.priority = core::Priority::best_effort;
+    } else if (wrong.empty()) {
+        wrong = "rank";
+    }
+    const auto tasks = whole(v, "legs");
+    if (tasks && *tasks >= 1 && *tasks <= 100'000) {
+        j.tasks = static_cast<std::uint32_t>(*tasks);
+    } else if (wrong.empty()) {
+        wrong = "legs";
+    }
+    take_number("cores", j.need.cpus);
+    take_number("accelerators", j.need.gpus);
+    take_number("memGb", j.need.memory_gb);
+    take_text("plate", j.image);
+    take_number("sizeGb", j.image_gb);
+    if (present(v, "builds")) {
+        j.types = texts(list(v, "builds"));
+        if (!j.types && wrong.empty()) wrong = "builds";
+    }
+    if (present(v, "roost")) {
+        j.zone = text(v, "roost");
+        if (!j.zone && wrong.empty()) wrong = "roost";
+    }
+    take_flag("oneZone", j.one_zone);
+    take_flag("spread", j.spread);
+    take_flag("borrowed", j.spot);
+    take_number("expectS", j.estimate_s);
+    take_number("markS", j.checkpoint_s);
+    take_number("stashS", j.save_s);
+    if (present(v, "dueS")) {
+        j.deadline_s = number(v, "dueS");
+        if ((!j.deadline_s || *j.deadline_s < 0 || *j.deadline_s > kMost) && wrong.empty()) wrong = "dueS";
+    }
+    if (!wrong.empty()) return wrong;
+    return j;
+}
+
+const char* status_name(JobStatus s) {
+    switch (s) {
+        case JobStatus::queued: return "queued";
+        case JobStatus::running: return "running";
+        case JobStatus::done: return "done";
+        case JobStatus::cancelled: return "cancelled";
+    }
+    return "";
+}
+
+Json job_answer(const std::string& id, JobStatus s) { return {{"id", id}, {"status", status_name(s)}}; }
+
+Json job_answer(const std::string& id, JobStatus s, std::uint32_t done, std::uint32_t running) {
+    return {{"id", id}, {"status", status_name(s)}, {"done", done}, {"running", running}};
+}
+
+std::string task_name(const std::string& job, std::uint32_t task) { return job + '/' + std::to_string(task); }
+
+std::optional<std::pair<std::string, std::uint32_t>> parse_task_name(std::string_view name) {
+    const auto slash = name.rfind('/');
+    if (slash == std::string_view::npos || slash == 0) return std::nullopt;
+    const auto index = to_index(name.substr(slash + 1));
+    if (!index) return std::nullopt;
+    return std::pair{std::string{name.substr(0, slash)}, *index};
+}
+
+std::optional<core::WorkerReport> parse_report(const Json& v) {
+    core::WorkerReport r;
+    const auto machine = text(v, "perch");
+    const auto address = text(v, "address");
+    const auto type = text(v, "build");
+    const auto zone = text(v, "roost");
+    const auto spot = flag(v, "borrowed");
+    const auto session = whole(v, "stint");
+    const auto tick = whole(v, "tick");
+    const auto token = whole(v, "baton");
+    const Json* tasks = list(v, "legs");
+    if (!machine || machine->empty() || !address || !type || !zone || !spot || !session || !tick || !token ||
+        tasks == nullptr) {
+        return std::nullopt;
+    }
+    r.machine = *machine;
+    r.address = *address;
+    r.type = *type;
+    r.zone = *zone;
+    r.spot = *spot;
+    r.session = *session;
+    r.tick = *tick;
+    r.token = *token;
+    if (present(v, "warningS")) {
+        r.notice_s = number(v, "warningS");
+        if (!r.notice_s) return std::nullopt;
+        r.notice_s = std::clamp(*r.notice_s, 0.0, kMost);
+    }
+    r.tasks.reserve(tasks->size());
+    for (const auto& t : *tasks) {
+        const auto name = text(t, "leg");
+        const auto attempt = whole(t, "try");
+        const auto state = text(t, "status");
+        if (!name || !attempt || !state) return std::nullopt;
+        auto ref = parse_task_name(*name);
+        const auto st = task_state(*state);
+        if (!ref || !st) return std::nullopt;
+        core::TaskReport out;
+        out.job = std::move(ref->first);
+        out.task = ref->second;
+        out.attempt = *attempt;
+        out.state = *st;
+        if (*st == TaskState::exited) out.cause = exit_cause(text(t, "cause").value_or(""));
+        out.saved = flag(t, "kept").value_or(false);
+        r.tasks.push_back(std::move(out));
+    }
+    return r;
+}
+
+Json order_list(const std::vector<core::Order>& orders) {
+    Json out = Json::array();
+    for (const auto& o : orders) {
+        Json call{{"call", order_name(o.kind)}, {"leg", task_name(o.job, o.task)}, {"try", o.attempt}};
+        if (o.kind == core::OrderKind::stop) call["settleS"] = o.grace_s;
+        out.push_back(std::move(call));
+    }
+    return out;
+}
+
+Json report_answer(std::uint64_t token) { return {{"baton", token}, {"calls", Json::array()}}; }
+
+Json orders_request(std::uint64_t token, std::uint64_t session, const std::vector<core::Order>& orders) {
+    return {{"baton", token}, {"stint", session}, {"calls", order_list(orders)}};
+}
+
+Json home_answer(const std::string& label) {
+    if (label.empty()) return Json::object();
+    return {{"home", label}};
+}
+
+std::optional<core::Catalog> parse_catalog(const Json& v) {
+    const Json* types = list(v, "builds");
+    if (types == nullptr) return std::nullopt;
+    core::Catalog out;
+    for (const auto& t : *types) {
+        const auto name = text(t, "name");
+        const auto cpus = number(t, "cores");
+        const auto memory = number(t, "memGb");
+        const auto price = number(t, "price");
+        if (!name || !cpus || !memory || !price) return std::nullopt;
+        core::MachineType m;
+        m.name = *name;
+        m.size = {*cpus, number(t, "accelerators").value_or(0), *memory};
+        m.cache_gb = number(t, "localGb").value_or(0);
+        m.fetch_gb_per_s = std::max(1e-3, number(t, "fetchGbPerS").value_or(1));
+        m.price = *price;
+        m.spot_price = number(t, "marketPrice").value_or(*price);
+        m.boot = core::Micros{static_cast<std::int64_t>(std::clamp(number(t, "startupS").value_or(30), 0.0, 1e5) * 1e6)};
+        const auto zones = texts(list(t, "roosts"));
+        if (!zones) return std::nullopt;
+        m.zones = *zones;
+        out.emplace(m.name, std::move(m));
+    }
+    return out;
+}
+
+std::optional<RentalPage> parse_rentals(const Json& v) {
+    const Json* items = list(v, "perches");
+    const auto more = flag(v, "hasNext");
+    if (items == nullptr || !more) return std::nullopt;
+    RentalPage page;
+    page.more = *more;
+    for (const auto& i : *items) {
+        const auto id = text(i, "id");
+        const auto type = text(i, "build");
+        const auto zone = text(i, "roost");
+        const auto spot = flag(i, "borrowed");
+        const auto state = text(i, "status");
+        if (!id || !type || !zone || !spot || !state) return std::nullopt;
+        core::Rental r;
+        r.machine = *id;
+        r.address = text(i, "address").value_or("");
+        r.type = *type;
+        r.zone = *zone;
+        r.spot = *spot;
+        r.state = *state == "running"  ? core::RentalState::running
+                  : *state == "failed" ? core::RentalState::failed
+                                       : core::RentalState::booting;
+        r.age_s = number(i, "heldS").value_or(0);
+        page.rentals.push_back(std::move(r));
+    }
+    return page;
+}
+
+std::optional<std::vector<std::string>> parse_rented(const Json& v) { return texts(list(v, "perches")); }
+
+Json rent_request(const std::string& name, const std::string& type, const std::string& zone, bool spot,
+                  std::uint32_t number) {
+    return {{"ask", name}, {"build", type}, {"roost", zone}, {"borrowed", spot}, {"number", number}};
+}
+
+Json release_request(const std::vector<std::string>& machines) { return {{"perches", machines}}; }
+
+std::optional<StorePage> parse_page(const Json& v) {
+    const Json* items = list(v, "pairs");
+    const auto revision = whole(v, "ledger");
+    if (items == nullptr || !revision) return std::nullopt;
+    StorePage page;
+    page.revision = *revision;
+    page.more = flag(v, "hasNext").value_or(false);
+    for (const auto& i : *items) {
+        const auto key = text(i, "path");
+        const auto stamp = whole(i, "stamp");
+        if (!key || !stamp || !i.contains("v")) return std::nullopt;
+        page.items.push_back({*key, i["v"], *stamp});
+    }
+    return page;
+}
+
+std::optional<StorePage> parse_watch(const Json& v) {
+    const Json* items = list(v, "log");
+    const auto revision = whole(v, "ledger");
+    if (items == nullptr || !revision) return std::nullopt;
+    StorePage page;
+    page.revision = *revision;
+    for (const auto& i : *items) {
+        const auto stamp = whole(i, "stamp");
+        if (!stamp) return std::nullopt;
+        if (const auto put = text(i, "write")) {
+            if (!i.contains("v")) return std::nullopt;
+            page.items.push_back({*put, i["v"], *stamp});
+        } else if (const auto gone = text(i, "delete")) {
+            page.items.push_back({*gone, std::nullopt, *stamp});
+        } else {
+            return std::nullopt;
+        }
+    }
+    return page;
+}
+
+Json transaction_request(const Transaction& t) {
+    Json when = Json::array();
+    for (const auto& [key, stamp] : t.conditions) when.push_back({{"path", key}, {"stamp", stamp}});
+    Json writes = Json::array();
+    for (const auto& w : t.writes) {
+        if (!w.value) {
+            writes.push_back({{"delete", w.key}});
+            continue;
+        }
+        Json put{{"write", w.key}, {"v", *w.value}};
+        if (w.grant != 0) put["tenure"] = w.grant;
+        writes.push_back(std::move(put));
+    }
+    return {{"when", std::move(when)}, {"writes", std::move(writes)}};
+}
+
+Json job_record(const core::Job& j) {
+    Json v{{"class", j.job_class},
+           {"team", j.team},
+           {"kind", static_cast<int>(j.kind)},
+           {"prio", static_cast<int>(j.priority)},
+           {"tasks", j.tasks},
+           {"cpus", j.need.cpus},
+           {"gpus", j.need.gpus},
+           {"mem", j.need.memory_gb},
+           {"image", j.image},
+           {"igb", j.image_gb},
+           {"flags", (j.one_zone ? 1 : 0) | (j.spread ? 2 : 0) | (j.spot ? 4 : 0)},
+           {"est", j.estimate_s},
+           {"cp", j.checkpoint_s},
+           {"save", j.save_s},
+           {"at", j.accepted.count()}};
+    if (j.types) v["types"] = *j.types;
+    if (j.zone) v["zone"] = *j.zone;
+    if (j.deadline_s) v["due"] = *j.deadline_s;
+    if (j.cancelled) v["cancelled"] = j.cancelled_at.count();
+    return v;
+}
+
+std::optional<core::Job> parse_job_record(const std::string& id, const Json& v) {
+    core::Job j;
+    j.id = id;
+    const auto job_class = text(v, "class");
+    const auto team = text(v, "team");
+    const auto kind = whole(v, "kind");
+    const auto prio = whole(v, "prio");
+    const auto tasks = whole(v, "tasks");
+    const auto cpus = number(v, "cpus");
+    const auto flags = whole(v, "flags");
+    const auto at = whole(v, "at");
+    if (!job_class || !team || !kind || *kind > 2 || !prio || *prio > 3 || !tasks || *tasks == 0 ||
+        *tasks > 100'000 || !cpus || !flags || !at) {
+        return std::nullopt;
+    }
+    j.job_class = *job_class;
+    j.team = *team;
+    j.kind = static_cast<core::JobKind>(*kind);
+    j.priority = static_cast<core::Priority>(*prio);
+    j.tasks = static_cast<std::uint32_t>(*tasks);
+    j.need = {*cpus, number(v, "gpus").value_or(0), number(v, "mem").value_or(0)};
+    j.image = text(v, "image").value_or("");
+    j.image_gb = number(v, "igb").value_or(0);
+    j.one_zone = (*flags & 1U) != 0;
+    j.spread = (*flags & 2U) != 0;
+    j.spot = (*flags & 4U) != 0;
+    j.estimate_s = number(v, "est").value_or(0);
+    j.checkpoint_s = number(v, "cp").value_or(0);
+    j.save_s = number(v, "save").value_or(0);
+    j.accepted = core::Micros{static_cast<std::int64_t>(*at)};
+    if (present(v, "types")) {
+        j.types = texts(list(v, "types"));
+        if (!j.types) return std::nullopt;
+    }
+    j.zone = text(v, "zone");
+    j.deadline_s = number(v, "due");
+    if (const auto c = whole(v, "cancelled")) {
+        j.cancelled = true;
+        j.cancelled_at = core::Micros{static_cast<std::int64_t>(*c)};
+    }
+    return j;
+}
+
+Json chunk_record(const core::Chunk& c) {
+    Json done = Json::array();
+    for (const auto& [from, to] : c.done.ranges()) done.push_back({from, to});
+    Json open = Json::array();
+    for (const auto& [task, a] : c.open) open.push_back({task, a.number, a.machine, a.session});
+    return {{"d", std::move(done)}, {"o", std::move(open)}, {"n", c.last_attempt}};
+}
+
+std::optional<core::Chunk> parse_chunk_record(const Json& v, core::Stamp stamp) {
+    core::Chunk c;
+    c.stamp = stamp;
+    const Json* done = list(v, "d");
+    const Json* open = list(v, "o");
+    const auto last = whole(v, "n");
+    if (done == nullptr || open == nullptr || !last) return std::nullopt;
+    c.last_attempt = *last;
+    for (const auto& r : *done) {
+        if (!r.is_array() || r.size() != 2 || !r[0].is_number_unsigned() || !r[1].is_number_unsigned()) {
+            return std::nullopt;
+        }
+        const auto from = r[0].get<std::uint64_t>();
+        const auto to = r[1].get<std::uint64_t>();
+        if (from > to || to >= 100'000) return std::nullopt;
+        c.done.insert(static_cast<std::uint32_t>(from), static_cast<std::uint32_t>(to));
+    }
+    for (const auto& o : *open) {
+        if (!o.is_array() || o.size() != 4 || !o[0].is_number_unsigned() || !o[1].is_number_unsigned() ||
+            !o[2].is_string() || !o[3].is_number_unsigned()) {
+            return std::nullopt;
+        }
+        c.open[o[0].get<std::uint32_t>()] = {o[1].get<std::uint64_t>(), o[2].get<std::string>(),
+                                             o[3].get<std::uint64_t>()};
+    }
+    return c;
+}
+
+Json epoch_record(const core::Epoch& e) {
+    Json members = Json::array();
+    for (const auto& m : e.members) members.push_back({m.label, m.grant});
+    return {{"number", e.number},
+            {"leader", e.leader},
+            {"members", std::move(members)},
+            {"owners", e.owners},
+            {"removed", e.removed_at.count()}};
+}
+
+std::optional<core::Epoch> parse_epoch_record(const Json& v, core::Stamp stamp) {
+    core::Epoch e;
+    const auto number = whole(v, "number");
+    const auto leader = text(v, "leader");
+    const Json* members = list(v, "members");
+    const auto removed = whole(v, "removed");
+    if (!number || !leader || members == nullptr || !removed || !v.contains("owners") || !v["owners"].is_object()) {
+        return std::nullopt;
+    }
+    e.number = *number;
+    e.leader = *leader;
+    e.removed_at = core::Micros{static_cast<std::int64_t>(*removed)};
+    e.stamp = stamp;
+    for (const auto& m : *members) {
+        if (!m.is_array() || m.size() != 2 || !m[0].is_string() || !m[1].is_number_unsigned()) return std::nullopt;
+        e.members.push_back({m[0].get<std::string>(), m[1].get<std::uint64_t>()});
+    }
+    for (const auto& [team, owner] : v["owners"].items()) {
+        if (!owner.is_string()) return std::nullopt;
+        e.owners[team] = owner.get<std::string>();
+    }
+    return e;
+}
+
+Json final_record(JobStatus s, std::uint32_t done) { return {{"s", status_name(s)}, {"done", done}}; }
+
+std::optional<std::pair<JobStatus, std::uint32_t>> parse_final_record(const Json& v) {
+    const auto s = text(v, "s");
+    if (!s) return std::nullopt;
+    const auto done = static_cast<std::uint32_t>(whole(v, "done").value_or(0));
+    if (*s == "done") return std::pair{JobStatus::done, done};
+    if (*s == "cancelled") return std::pair{JobStatus::cancelled, done};
+    return std::nullopt;
+}
+
+}  // namespace hatchwind::wire
