--- a/src/core/drain_planner.hpp
+++ b/src/core/drain_planner.hpp
@@ -15,7 +15,7 @@
 
 struct DrainSettings {
     double use_threshold = 0.5;
-    Micros unneeded{60'000'000};
+    Micros unneeded{30'000'000};
     Micros recent_stop{30'000'000};
     std::size_t total_cap = 8;
     std::size_t busy_cap = 2;
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -75,10 +75,19 @@
         return u.cpus + j.need.cpus * more <= t->second.cpus_max + kSlack &&
                u.gpus + j.need.gpus * more <= t->second.gpus_max + kSlack;
     }
-    bool within_guarantee(const Job& j) const {
+    // In the sense of the promise to teams: this job and the team's earlier unfinished ones fit into the
+    // guarantee together. A team with a longer queue than that has no claim on others' running work.
+    bool within_guarantee(const Job& j) {
+        const auto [it, fresh] = guaranteed_.try_emplace(j.id, false);
+        if (!fresh) return it->second;
+        Amount sum;
+        for (const auto& [id, e] : in_.ledger->jobs()) {
+            if (e.job.team != j.team || e.job.cancelled) continue;
+            if (e.job.accepted < j.accepted || id == j.id) sum += e.job.need * static_cast<double>(e.job.tasks - e.done);
+        }
         const auto& t = in_.teams->at(j.team);
-        const Amount& u = used_.at(j.team);
-        return u.cpus + j.need.cpus <= t.cpus + kSlack && u.gpus + j.need.gpus <= t.gpus + kSlack;
+        it->second = sum.cpus <= t.cpus + kSlack && sum.gpus <= t.gpus + kSlack;
+        return it->second;
     }
 
     // Lower is better. Image first (a fetch is the longest part of a start), candidates of the drain
@@ -235,7 +244,7 @@
         std::tuple<int, int, double> cost;
     };
 
-    bool may_stop(const Job& j, const Job& victim) const {
+    bool may_stop(const Job& j, const Job& victim) {
         if (victim.kind == JobKind::gang) return false;  // a gang loses far more than one task's room
         if (j.priority > victim.priority) return true;
         if (j.team == victim.team || !within_guarantee(j)) return false;
@@ -299,6 +308,7 @@
     Room& room_;
     PlacementResult out_;
     std::map<std::string, Amount> used_;
+    std::map<std::string, bool> guaranteed_;
     std::set<TaskRef> stopping_;
     std::vector<std::pair<RoomMachine*, bool>> closed_;
 };
--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -20,6 +20,9 @@
 Mesh::Mesh(Node& n, Membership& m) : n_(n), membership_(m), listener_(n.loop, n.settings.mesh) {
     for (const auto& p : n.settings.peers) links_[p.label] = std::make_unique<Link>(n.loop, p);
     n_.forward = [this](const core::WorkerReport& r, Micros heard) { forward(r, heard); };
+    n_.announce_hold = [this](const wire::MeshHold& h) {
+        for (auto& [label, link] : links_) push(*link, h);
+    };
     membership_.ask_all = [this](const wire::MeshAsk& ask) {
         for (auto& [label, link] : links_) push(*link, ask);
     };
@@ -144,6 +147,10 @@
         push(*links_.at(from), answer);
     } else if (auto* promise = std::get_if<wire::MeshPromise>(&m)) {
         membership_.promise_received(from, *promise);
+    } else if (auto* hold = std::get_if<wire::MeshHold>(&m)) {
+        if (n_.foreign_holds.size() > 512) return;
+        const Micros until = steady_now() + std::min(Micros{static_cast<std::int64_t>(hold->for_us)}, Micros{10'000'000});
+        n_.foreign_holds[{hold->job, hold->task}] = {hold->machine, {hold->cpus, hold->gpus, hold->memory_gb}, until};
     }
 }
 
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -54,6 +54,8 @@
     std::map<std::string, io::Micros> answered_here;
     std::map<std::string, io::Micros> answered_any;
     std::set<std::string> candidates;       // the leader's drain candidates, as last heard
+    // Room that other owners are clearing for their tasks.
+    std::map<core::TaskRef, core::Reservation> foreign_holds;
     std::deque<std::string> released_log;   // newest last, bounded
     io::Micros synced_wall{0};
     io::Micros last_worker_contact{0};  // steady; a report or an answered order
@@ -62,6 +64,7 @@
     io::Signal work;        // something changed that placing may care about
     io::Signal fleet_work;  // likewise for the leader's renting
     std::function<void(const core::WorkerReport&, io::Micros heard)> forward;  // to the other nodes
+    std::function<void(const wire::MeshHold&)> announce_hold;                  // likewise
 
     // May this life answer workers, send orders and place?
     bool acting() const;
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -181,7 +181,23 @@
         if (t.until > in.now) availability.banned_until[id] = t.until;
     }
     core::Room room = core::Room::build(n_.picture, n_.ledger, *n_.catalog, availability);
+    // Room that another owner has cleared: without this the victim's owner, which hears of the exit as soon as
+    // anyone, puts the task right back and is stopped again, over and over.
+    std::erase_if(n_.foreign_holds, [&](const auto& h) {
+        const core::Attempt* a = n_.ledger.open_attempt(h.first.job, h.first.task);
+        return h.second.until <= in.now || (a != nullptr && a->machine == h.second.machine);
+    });
+    for (const auto& [ref, h] : n_.foreign_holds) {
+        for (std::size_t i = 0; i < room.machines().size(); ++i) {
+            if (room.machines()[i].id == h.machine) room.take(i, h.need);
+        }
+    }
     auto result = core::place(in, room);
+    for (const auto& [ref, r] : result.reservations) {
+        if (reservations_.contains(ref) || !n_.announce_hold) continue;
+        n_.announce_hold({r.machine, ref.job, ref.task, r.need.cpus, r.need.gpus, r.need.memory_gb,
+                          static_cast<std::uint64_t>((r.until - in.now).count())});
+    }
     reservations_ = std::move(result.reservations);
     for (const auto& st : result.starts) {
         const core::JobEntry& e = *n_.ledger.find(st.job);
--- a/src/wire/mesh_codec.cpp
+++ b/src/wire/mesh_codec.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-enum class Kind : std::uint8_t { hello = 1, beat = 2, report = 3, ask = 4, promise = 5 };
+enum class Kind : std::uint8_t { hello = 1, beat = 2, report = 3, ask = 4, promise = 5, hold = 6 };
 
 class Writer {
   public:
@@ -151,6 +151,16 @@
     w.b(m.given);
 }
 
+void put(Writer& w, const MeshHold& m) {
+    w.s(m.machine);
+    w.s(m.job);
+    w.u(m.task);
+    w.f(m.cpus);
+    w.f(m.gpus);
+    w.f(m.memory_gb);
+    w.u(m.for_us);
+}
+
 MeshBeat get_beat(Reader& r) {
     MeshBeat m;
     m.label = r.s();
@@ -237,6 +247,18 @@
             out = m;
             break;
         }
+        case Kind::hold: {
+            MeshHold m;
+            m.machine = r.s();
+            m.job = r.s();
+            m.task = static_cast<std::uint32_t>(r.u());
+            m.cpus = r.f();
+            m.gpus = r.f();
+            m.memory_gb = r.f();
+            m.for_us = r.u();
+            out = m;
+            break;
+        }
     }
     if (!r.ok()) return std::nullopt;
     return out;
@@ -245,7 +267,8 @@
 }  // namespace
 
 std::string encode_frame(const MeshMessage& m) {
-    static constexpr Kind kinds[] = {Kind::hello, Kind::beat, Kind::report, Kind::ask, Kind::promise};
+    static constexpr Kind kinds[] = {Kind::hello, Kind::beat, Kind::report, Kind::ask, Kind::promise,
+                                     Kind::hold};
     Writer w{kinds[m.index()]};
     std::visit([&](const auto& v) { put(w, v); }, m);
     return w.frame();
--- a/src/wire/mesh_codec.hpp
+++ b/src/wire/mesh_codec.hpp
@@ -57,7 +57,17 @@
     friend bool operator==(const MeshPromise&, const MeshPromise&) = default;
 };
 
-using MeshMessage = std::variant<MeshHello, MeshBeat, MeshReport, MeshAsk, MeshPromise>;
+// Room that an owner is clearing for one of its tasks: the others leave it alone for so long.
+struct MeshHold {
+    std::string machine;
+    std::string job;
+    std::uint32_t task = 0;
+    double cpus = 0, gpus = 0, memory_gb = 0;
+    std::uint64_t for_us = 0;
+    friend bool operator==(const MeshHold&, const MeshHold&) = default;
+};
+
+using MeshMessage = std::variant<MeshHello, MeshBeat, MeshReport, MeshAsk, MeshPromise, MeshHold>;
 
 std::string encode_frame(const MeshMessage& m);
 
