Stops for room go down one order of claims

Ruled out: lost reservations (still stopped with holds shared over the mesh). Also: a queue too short for a machine of its own still gets one when nothing could run it.

--- a/src/core/fleet_planner.cpp
+++ b/src/core/fleet_planner.cpp
@@ -109,6 +109,12 @@
         return best;
     }
 
+    bool has_home(const Job& j) const {
+        return std::any_of(room_.machines().begin(), room_.machines().end(), [&](const RoomMachine& m) {
+            return m.usable && !m.draining && may_run_on(j, m) && j.need.fits_in(m.type->size);
+        });
+    }
+
     std::size_t machines_in(const std::string& zone) const {
         return static_cast<std::size_t>(std::count_if(room_.machines().begin(), room_.machines().end(),
                                                       [&](const auto& m) { return m.zone == zone; }));
@@ -126,6 +132,11 @@
         // A task that runs longer than the wanted time needs a place of its own at once; short ones queue.
         const double share = std::min(1.0, std::max(task_seconds(e.job), 1.0) / s_.drain_queue_s);
         ZoneUse zones = ZoneUse::of(e, room_);
+        if (!has_home(e.job)) {
+            // However short the queue: without any machine that could take it, it would wait for ever.
+            one(e, zones, e.job.need.cpus);
+            return;
+        }
         owed_ += share * e.unstarted();
         while (owed_ >= 1.0) {
             if (!one(e, zones, owed_ * e.job.need.cpus)) {
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -244,8 +244,16 @@
         std::tuple<int, int, double> cost;
     };
 
+    // Claims in order: production, then what a guarantee covers, then the rest; by priority among equals.
+    // A stop always goes down this order. Priority alone and guarantee alone each allow a stop, and two teams
+    // with one each would stop one another's tasks for ever.
+    std::pair<int, Priority> claim(const Job& j) {
+        if (j.priority == Priority::production) return {2, j.priority};
+        return {within_guarantee(j) ? 1 : 0, j.priority};
+    }
     bool may_stop(const Job& j, const Job& victim) {
         if (victim.kind == JobKind::gang) return false;  // a gang loses far more than one task's room
+        if (claim(j) <= claim(victim)) return false;
         if (j.priority > victim.priority) return true;
         if (j.team == victim.team || !within_guarantee(j)) return false;
         const auto& t = in_.teams->at(victim.team);
@@ -292,15 +300,19 @@
         }
         if (chosen.empty()) return false;
         // The victims' room is not free before they have gone: a start into it now would be refused.
+        double slowest = 0;
         for (const auto& v : chosen) {
             used_[v.entry->job.team] -= v.entry->job.need;
             stopping_.insert({v.entry->job.id, v.task});
-            out_.stops.push_back({v.entry->job.id, v.task, *v.attempt, 0});
+            // A service's users wait now; anything else can wait until the victim has saved.
+            const bool saves = e.job.kind != JobKind::service && v.entry->job.checkpoint_s > 0;
+            out_.stops.push_back({v.entry->job.id, v.task, *v.attempt, saves ? v.entry->job.save_s + 0.5 : 0});
+            slowest = std::max(slowest, out_.stops.back().grace_s);
         }
         room_.take(chosen_at, e.job.need);
         used_[e.job.team] += e.job.need;
         out_.reservations[{e.job.id, task}] = {room_.machines()[chosen_at].id, e.job.need,
-                                               in_.now + Micros{4'000'000}};
+                                               in_.now + Micros{4'000'000 + static_cast<std::int64_t>(slowest * 1e6)}};
         return true;
     }
 
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -210,7 +210,7 @@
     }
     for (const auto& st : result.stops) {
         spdlog::debug("event=preempt job={} task={} machine={}", st.job, st.task, st.attempt.machine);
-        stopping_[{st.job, st.task}] = in.now + Micros{2'000'000};
+        stopping_[{st.job, st.task}] = in.now + Micros{2'000'000 + static_cast<std::int64_t>(st.grace_s * 1e6)};
         workers_.order(st.attempt.machine, st.attempt.session,
                        {core::OrderKind::stop, st.job, st.task, st.attempt.number, st.grace_s});
     }
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -175,5 +175,35 @@
     EXPECT_EQ(core::place(input(c), room).stops.size(), 1U) << "within its guarantee it need not wait";
 }
 
+// A team beyond its guarantee but with higher priority, and one within its guarantee, once stopped each
+// other's tasks thousands of times a day.
+TEST(Placement, NoTwoJobsMayEachStopTheOther) {
+    for (const bool higher_runs : {true, false}) {
+        Cluster c;
+        c.teams["x"] = {"x", 0, 24, 0, 0};  // beyond its guarantee, with the higher priority
+        c.teams["y"] = {"y", 4, 24, 0, 0};  // within its guarantee, with the lower one
+        auto high = test::job("req-1", "x", 1, 4);
+        high.priority = core::Priority::normal;
+        auto low = test::job("req-2", "y", 1, 4);
+        low.priority = core::Priority::best_effort;
+        c.ledger.put_job(high, 1);
+        c.ledger.put_job(low, 2);
+        const std::string running = higher_runs ? "req-1" : "req-2";
+        auto r = test::report("n-1", "small", "a");
+        core::TaskReport t;
+        t.job = running;
+        t.attempt = 1;
+        t.state = core::TaskState::running;
+        r.tasks = {t};
+        c.picture.apply(r, c.now, c.now);
+        core::Chunk chunk;
+        chunk.stamp = 3;
+        chunk.open[0] = {1, "n-1", 1};
+        c.ledger.put_chunk(running, 0, chunk);
+        core::Room room = c.room();
+        EXPECT_EQ(core::place(input(c), room).stops.size(), higher_runs ? 1U : 0U);
+    }
+}
+
 }  // namespace
 }  // namespace hatchwind
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -144,6 +144,25 @@
     EXPECT_EQ(state.candidate_since.size(), 2U);
 }
 
+// One short task is a small part of a machine's time; with no machine at all it once waited for ever.
+TEST(FleetPlanner, RentsForAShortQueueWhenNothingCouldRunIt) {
+    Cluster c;
+    c.teams["x"] = {"x", 100, 100, 0, 0};
+    auto j = test::job("req-1", "x", 1, 1);
+    j.estimate_s = 1;
+    c.ledger.put_job(j, 1);
+    core::FleetInput in;
+    in.ledger = &c.ledger;
+    in.picture = &c.picture;
+    in.catalog = &c.types;
+    in.teams = &c.teams;
+    in.objectives = &c.objectives;
+    in.now = c.now;
+    EXPECT_EQ(core::plan_rentals({}, in, c.room()).size(), 1U);
+    c.picture.apply(test::report("n-1", "small", "a"), c.now, c.now);
+    EXPECT_TRUE(core::plan_rentals({}, in, c.room()).empty());
+}
+
 TEST(FleetPlanner, RentsForServicesLessWhatIsBooting) {
     Cluster c;
     c.teams["x"] = {"x", 100, 100, 0, 0};
