--- a/src/core/fleet_planner.cpp
+++ b/src/core/fleet_planner.cpp
@@ -130,7 +130,9 @@
 
     void place_share(const JobEntry& e) {
         // A task that runs longer than the wanted time needs a place of its own at once; short ones queue.
-        const double share = std::min(1.0, std::max(task_seconds(e.job), 1.0) / s_.drain_queue_s);
+        const double run = std::max(task_seconds(e.job), 1.0);
+        const double left = static_cast<double>((due_time(e.job, *in_.objectives) - in_.wall).count()) / 1e6 - run;
+        const double share = std::min(1.0, run / std::max(left * s_.slack_share, s_.least_queue_s));
         ZoneUse zones = ZoneUse::of(e, room_);
         if (!has_home(e.job)) {
             // However short the queue: without any machine that could take it, it would wait for ever.
--- a/src/core/fleet_planner.hpp
+++ b/src/core/fleet_planner.hpp
@@ -20,7 +20,9 @@
 };
 
 struct FleetSettings {
-    double drain_queue_s = 60;     // rent so much that arrays' backlog would be done within this time
+    // Rent so much that an array's queue starts within this part of the time that its due leaves it.
+    double slack_share = 0.5;
+    double least_queue_s = 15;
     double spare_share = 0.0;      // room kept free for services, as a share of what they use
     std::size_t most_per_round = 20;
 };
@@ -33,7 +35,8 @@
     const std::vector<Objective>* objectives = nullptr;
     std::vector<Rental> booting;                // rented, not reporting yet, not overdue
     std::map<Pool, Micros> refused_until;       // steady
-    Micros now{};
+    Micros now{};   // steady
+    Micros wall{};  // time of day
 };
 
 // How many machines to rent from which pool.
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -1,6 +1,7 @@
 #include "core/placement.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 #include <optional>
 #include <tuple>
@@ -90,19 +91,26 @@
         return it->second;
     }
 
-    // Lower is better. Image first (a fetch is the longest part of a start), candidates of the drain
-    // planner last, then the kind of machine that fewer jobs may use, then the tightest fit.
+    // Seconds until the image would be there.
+    double fetch_s(const Job& j, const RoomMachine& m) const {
+        if (m.has_image(j.image)) return 0;
+        const double alone = j.image_gb / m.type->fetch_gb_per_s;
+        if (m.view == nullptr) return alone;
+        for (const auto& t : m.view->last.tasks) {
+            if (t.state != TaskState::fetching) continue;
+            const JobEntry* other = in_.ledger->find(t.job);
+            // One fetch serves all tasks that need it, and this one is under way.
+            if (other != nullptr && other->job.image == j.image) return alone / 2;
+        }
+        return alone;
+    }
+
+    // Lower is better. Candidates of the drain planner last; then the fetch, which is the longest part of a
+    // start; then the kind of machine that fewer jobs may use, then the tightest fit.
     using Score = std::tuple<bool, int, bool, double, std::size_t>;
     Score score(const Job& j, std::size_t at) const {
         const RoomMachine& m = room_.machines()[at];
-        int image = m.has_image(j.image) ? 0 : 2;
-        if (image != 0 && m.view != nullptr) {
-            for (const auto& t : m.view->last.tasks) {
-                if (t.state != TaskState::fetching) continue;
-                const JobEntry* other = in_.ledger->find(t.job);
-                if (other != nullptr && other->job.image == j.image) image = 1;
-            }
-        }
+        const int image = static_cast<int>(std::lround(fetch_s(j, m)));
         return {m.candidate, image, m.spot != j.spot, m.free.cpus - j.need.cpus, at};
     }
 
@@ -135,6 +143,10 @@
 
     void place_tasks(const JobEntry& e) {
         ZoneUse zones = ZoneUse::of(e, room_);
+        std::optional<double> wait_s;
+        for (const auto& o : *in_.objectives) {
+            if (o.kind == "wait" && o.job_class == e.job.job_class) wait_s = o.within_s;
+        }
         for (const std::uint32_t task : unstarted_tasks(e, in_.most_starts)) {
             if (out_.starts.size() >= in_.most_starts || !within_limit(e.job)) return;
             const TaskRef ref{e.job.id, task};
@@ -150,7 +162,12 @@
                 if (preempt(e, zones, task)) continue;
                 return;  // the job's other tasks have the same shape
             }
-            if (held != out_.reservations.end()) out_.reservations.erase(held);
+            if (held != out_.reservations.end()) {
+                out_.reservations.erase(held);
+            } else if (wait_s && fetch_s(e.job, room_.machines()[*at]) > *wait_s && preempt(e, zones, task, true)) {
+                // Its users wait no longer than this: room beside the image is worth another task's place.
+                continue;
+            }
             const auto c = e.chunks.find(task / kChunkTasks);
             const std::uint64_t last = c == e.chunks.end() ? 0 : c->second.last_attempt;
             zones.add(room_.machines()[*at].zone);
@@ -260,7 +277,7 @@
         return used_.at(victim.team).cpus > t.cpus + kSlack || used_.at(victim.team).gpus > t.gpus + kSlack;
     }
 
-    bool preempt(const JobEntry& e, const ZoneUse& zones, std::uint32_t task) {
+    bool preempt(const JobEntry& e, const ZoneUse& zones, std::uint32_t task, bool with_image = false) {
         if (out_.stops.size() >= in_.most_stops) return false;
         std::vector<Victim> chosen;
         std::size_t chosen_at = 0;
@@ -268,7 +285,7 @@
         for (std::size_t i = 0; i < room_.machines().size(); ++i) {
             const RoomMachine& m = room_.machines()[i];
             if (!m.usable || m.draining || !may_run_on(e.job, m) || !zones.allows(e.job, m.zone) ||
-                m.view->task(e.job.id, task) != nullptr) {
+                m.view->task(e.job.id, task) != nullptr || (with_image && !m.has_image(e.job.image))) {
                 continue;
             }
             std::vector<Victim> victims;
--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -148,6 +148,7 @@
         in.teams = &n_.settings.teams;
         in.objectives = &n_.settings.objectives;
         in.now = now;
+        in.wall = io::wall_now();
         in.refused_until = refused_;
         for (const auto& [id, k] : known_) {
             if (n_.picture.find(id) != nullptr || k.rental.state == core::RentalState::failed || overdue(k, now)) continue;
