--- a/src/core/fleet_planner.cpp
+++ b/src/core/fleet_planner.cpp
@@ -37,7 +37,9 @@
         for (const JobEntry* e : queue) {
             if (e->job.kind != JobKind::array) place_all(*e);
         }
-        // Arrays share room over time: so much as empties their backlog in the wanted time.
+        // Arrays share room over time: so much as empties their backlog in the wanted time. What their running
+        // tasks will leave within that time is room for the queue too.
+        lend_running();
         for (const JobEntry* e : queue) {
             if (e->job.kind == JobKind::array) place_share(*e);
         }
@@ -128,11 +130,28 @@
         }
     }
 
+    // The part of the wanted time for which a task of this job needs its place.
+    double time_share(const Job& j, double run) const {
+        const double left = static_cast<double>((due_time(j, *in_.objectives) - in_.wall).count()) / 1e6 - run;
+        return std::min(1.0, run / std::max(left * s_.slack_share, s_.least_queue_s));
+    }
+
+    void lend_running() {
+        for (std::size_t i = 0; i < room_.machines().size(); ++i) {
+            const RoomMachine& m = room_.machines()[i];
+            if (m.view == nullptr || !m.usable || m.draining) continue;
+            for (const auto& ref : in_.ledger->on_machine(m.id)) {
+                const JobEntry* e = in_.ledger->find(ref.job);
+                if (e->job.kind != JobKind::array) continue;
+                // Half of its run is still to come, as far as anyone knows.
+                room_.give(i, e->job.need * (1 - time_share(e->job, task_seconds(e->job) / 2)));
+            }
+        }
+    }
+
     void place_share(const JobEntry& e) {
         // A task that runs longer than the wanted time needs a place of its own at once; short ones queue.
-        const double run = std::max(task_seconds(e.job), 1.0);
-        const double left = static_cast<double>((due_time(e.job, *in_.objectives) - in_.wall).count()) / 1e6 - run;
-        const double share = std::min(1.0, run / std::max(left * s_.slack_share, s_.least_queue_s));
+        const double share = time_share(e.job, std::max(task_seconds(e.job), 1.0));
         ZoneUse zones = ZoneUse::of(e, room_);
         if (!has_home(e.job)) {
             // However short the queue: without any machine that could take it, it would wait for ever.
