--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "core/silence.hpp"
+
 namespace hatchwind::service {
 
 using io::Micros;
@@ -297,18 +299,17 @@
             const Micros boot = t == n_.catalog->end() ? seconds(30) : t->second.boot;
             if (now - k.rented > boot * 5 + seconds(20) && now - reign_began_ > seconds(10)) go.push_back(id);
         }
-        // Silent machines: the release makes the end of their tasks certain, long before the lease would.
-        // Only a few at a time: when many fall silent, the trouble is between them and us.
-        std::vector<std::string> silent;
-        std::size_t standing = 0;
+        // Not before this reign has had the time to hear them all.
+        std::vector<core::SilentMachine> machines;
         for (const auto& [id, m] : n_.picture.machines()) {
-            ++standing;
-            const bool useful = !n_.ledger.on_machine(id).empty();
-            const Micros limit = useful ? n_.tunables.silent_release : n_.tunables.silent_release * 2;
-            if (now - m.changed > limit && now - reign_began_ > limit) silent.push_back(id);
+            machines.push_back({id, std::min(now - m.changed, now - reign_began_), !n_.ledger.on_machine(id).empty()});
         }
-        if (!silent.empty() && silent.size() <= std::max<std::size_t>(2, standing / 6)) {
+        std::erase_if(silent_released_, [&](Micros t) { return now - t > seconds(60); });
+        const auto silent = core::releasable(machines, n_.tunables.silent_release, silent_released_.size());
+        if (!silent.empty()) {
+            spdlog::info("event=silent_machines count={} standing={}", silent.size(), machines.size());
             go.insert(go.end(), silent.begin(), silent.end());
+            silent_released_.insert(silent_released_.end(), silent.size(), now);
         }
         // Cancelled tasks on machines that do not answer must be gone in time.
         const Micros wall = io::wall_now();
--- a/src/service/leader.hpp
+++ b/src/service/leader.hpp
@@ -44,6 +44,7 @@
     std::map<core::Pool, int> refusals_;
     core::DrainState drain_;
     std::set<core::TaskRef> was_open_;
+    std::vector<io::Micros> silent_released_;  // when, within the last minute
     std::uint64_t request_ = 0;
     std::uint64_t reign_ = 0;
     std::uint64_t malformed_ = 0;
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -1,3 +1,4 @@
+#include "core/silence.hpp"
 #include "support.hpp"
 
 namespace hatchwind {
@@ -145,6 +146,21 @@
 }
 
 // One short task is a small part of a machine's time; with no machine at all it once waited for ever.
+TEST(Silence, FewSilentMachinesGoAndManyStay) {
+    const Micros limit{10'000'000};
+    std::vector<core::SilentMachine> machines;
+    for (int i = 0; i < 40; ++i) machines.push_back({"n-" + std::to_string(i), Micros{0}, true});
+    machines[0].silent_for = Micros{11'000'000};
+    EXPECT_EQ(core::releasable(machines, limit, 0), std::vector<std::string>{"n-0"});
+    machines[0].holds_tasks = false;
+    EXPECT_TRUE(core::releasable(machines, limit, 0).empty()) << "an empty one gets longer";
+    machines[0].holds_tasks = true;
+    EXPECT_TRUE(core::releasable(machines, limit, 5).empty()) << "enough were given back within the minute";
+    // A zone is cut: its machines reach the limit one after the other, and none of them may go.
+    for (std::size_t i = 1; i < 12; ++i) machines[i].silent_for = Micros{6'000'000 + static_cast<std::int64_t>(i) * 100'000};
+    EXPECT_TRUE(core::releasable(machines, limit, 0).empty());
+}
+
 TEST(FleetPlanner, RentsForAShortQueueWhenNothingCouldRunIt) {
     Cluster c;
     c.teams["x"] = {"x", 100, 100, 0, 0};
