What can still be in time goes before what is late already

Cause: earliest due first under overload serves the job that is about to be late, and then the next one.

--- a/src/core/fleet_planner.cpp
+++ b/src/core/fleet_planner.cpp
@@ -32,7 +32,7 @@
     std::map<Pool, std::uint32_t> run() {
         std::set<std::string> teams;
         for (const auto& [name, team] : *in_.teams) teams.insert(name);
-        const auto queue = queue_order(*in_.ledger, teams, *in_.objectives);
+        const auto queue = queue_order(*in_.ledger, teams, *in_.objectives, in_.wall);
         // Tasks that never end, and gangs, need room of their own now.
         for (const JobEntry* e : queue) {
             if (e->job.kind != JobKind::array) place_all(*e);
@@ -132,7 +132,7 @@
 
     // The part of the wanted time for which a task of this job needs its place.
     double time_share(const Job& j, double run) const {
-        const double left = static_cast<double>((due_time(j, *in_.objectives) - in_.wall).count()) / 1e6 - run;
+        const double left = static_cast<double>((due_time(j, *in_.objectives, in_.wall) - in_.wall).count()) / 1e6 - run;
         return std::min(1.0, run / std::max(left * s_.slack_share, s_.least_queue_s));
     }
 
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -8,17 +8,25 @@
 
 namespace hatchwind::core {
 
-Micros due_time(const Job& j, const std::vector<Objective>& objectives) {
-    if (j.deadline_s) return j.accepted + Micros{static_cast<std::int64_t>(*j.deadline_s * 1e6)};
-    double within = 600;
+Micros due_time(const Job& j, const std::vector<Objective>& objectives, Micros wall) {
+    // Estimates are often wrong by half: what might still be met counts as such.
+    const Micros run{static_cast<std::int64_t>(j.estimate_s * 0.5e6)};
+    // Nothing wanted, or all of it missed: some time, but behind what can still be met. Serving the latest
+    // first under overload makes every job late in turn.
+    Micros due = std::max(j.accepted, wall) + Micros{600'000'000};
+    const auto consider = [&](double within_s) {
+        const Micros at = j.accepted + Micros{static_cast<std::int64_t>(within_s * 1e6)};
+        if (at >= wall + run) due = std::min(due, at);
+    };
+    if (j.deadline_s) consider(*j.deadline_s);
     for (const auto& o : objectives) {
-        if (o.job_class == j.job_class && o.within_s > 0) within = std::min(within, o.within_s);
+        if (o.job_class == j.job_class && o.within_s > 0) consider(o.within_s);
     }
-    return j.accepted + Micros{static_cast<std::int64_t>(within * 1e6)};
+    return due;
 }
 
 std::vector<const JobEntry*> queue_order(const Ledger& l, const std::set<std::string>& teams,
-                                         const std::vector<Objective>& objectives) {
+                                         const std::vector<Objective>& objectives, Micros wall) {
     struct Key {
         int priority;
         Micros due;
@@ -27,7 +35,7 @@
     std::vector<Key> keys;
     for (const auto& [id, e] : l.jobs()) {
         if (e.job.cancelled || e.unstarted() == 0 || !teams.contains(e.job.team)) continue;
-        keys.push_back({-static_cast<int>(e.job.priority), due_time(e.job, objectives), &e});
+        keys.push_back({-static_cast<int>(e.job.priority), due_time(e.job, objectives, wall), &e});
     }
     std::sort(keys.begin(), keys.end(), [](const Key& a, const Key& b) {
         return std::tie(a.priority, a.due, a.e->job.id) < std::tie(b.priority, b.due, b.e->job.id);
@@ -54,7 +62,7 @@
     }
 
     PlacementResult run() {
-        for (const JobEntry* e : queue_order(*in_.ledger, in_.own_teams, *in_.objectives)) {
+        for (const JobEntry* e : queue_order(*in_.ledger, in_.own_teams, *in_.objectives, in_.wall)) {
             if (out_.starts.size() >= in_.most_starts) break;
             if (const auto b = in_.job_backoff.find(e->job.id); b != in_.job_backoff.end() && b->second > in_.now) {
                 continue;
--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -52,12 +52,13 @@
     std::map<TaskRef, Reservation> reservations;
 };
 
-// The time of day by which the job's users want it, from its deadline or its class's objectives.
-Micros due_time(const Job& j, const std::vector<Objective>& objectives);
+// The time of day by which the job's users want it: the earliest of its deadline and its class's objectives
+// that a task started now can still meet.
+Micros due_time(const Job& j, const std::vector<Objective>& objectives, Micros wall);
 
 // Jobs of the given teams with tasks to start, most urgent first.
 std::vector<const JobEntry*> queue_order(const Ledger& l, const std::set<std::string>& teams,
-                                         const std::vector<Objective>& objectives);
+                                         const std::vector<Objective>& objectives, Micros wall);
 
 PlacementResult place(const PlacementInput& in, Room& room);
 
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -86,6 +86,24 @@
     EXPECT_EQ(out.starts[0].attempt.machine, "n-3");
 }
 
+// Under overload the job that waited longest was always served first, and each was late in its turn.
+TEST(Placement, WhatCanStillBeInTimeGoesBeforeWhatIsLate) {
+    core::Ledger l;
+    const std::vector<core::Objective> objectives{{"finished", "c", 100, 0.9, 1}, {"finished", "c", 300, 0.9, 1}};
+    auto late = test::job("req-1", "x", 1, 1);
+    auto fresh = test::job("req-2", "x", 1, 1);
+    fresh.accepted = late.accepted + Micros{90'000'000};
+    l.put_job(late, 1);
+    l.put_job(fresh, 2);
+    const Micros soon = late.accepted + Micros{60'000'000};
+    EXPECT_EQ(core::queue_order(l, {"x"}, objectives, soon).front()->job.id, "req-1");
+    const Micros later = late.accepted + Micros{95'000'000};
+    EXPECT_EQ(core::queue_order(l, {"x"}, objectives, later).front()->job.id, "req-2");
+    // The second objective comes near.
+    const Micros end = late.accepted + Micros{265'000'000};
+    EXPECT_EQ(core::queue_order(l, {"x"}, objectives, end).front()->job.id, "req-1");
+}
+
 TEST(Placement, AGangStartsWholeOrNotAtAll) {
     Cluster c;
     c.teams["x"] = {"x", 24, 24, 0, 0};
