--- a/src/service/budget.hpp
+++ b/src/service/budget.hpp
@@ -19,10 +19,10 @@
         refill(now);
         left_ -= n;
     }
-    // How long until n can be spent; zero when now.
-    io::Micros wait(double n, io::Micros now) {
+    // How long until n can be spent; zero when now. `debt` is a part of the burst that may be owed for it.
+    io::Micros wait(double n, io::Micros now, double debt = 0) {
         refill(now);
-        const double missing = std::min(n, burst_) - left_;
+        const double missing = std::min(n, burst_) - left_ - debt * burst_;
         if (missing <= 0) return io::Micros{0};
         return io::Micros{static_cast<std::int64_t>(missing / rate_ * 1e6) + 1000};
     }
--- a/src/service/state_client.cpp
+++ b/src/service/state_client.cpp
@@ -30,12 +30,12 @@
 }
 
 Task<io::HttpReply> StateClient::call(std::string method, std::string target, std::string body, Micros deadline,
-                                      double writes, bool urgent, std::size_t most) {
+                                      double writes, bool urgent, std::size_t most, double debt) {
     io::HttpReply reply;
     if (!urgent) {
         while (true) {
             const Micros now = steady_now();
-            const Micros wait = std::max(requests_.wait(1, now), writes > 0 ? writes_.wait(writes, now) : Micros{0});
+            const Micros wait = std::max(requests_.wait(1, now, debt), writes > 0 ? writes_.wait(writes, now, debt) : Micros{0});
             if (wait.count() == 0) break;
             if (now + wait >= deadline) {
                 reply.status = 429;  // our own budget: never sent
@@ -102,10 +102,11 @@
     co_return wire::parse_page(*v);
 }
 
-Task<CommitResult> StateClient::commit(wire::Transaction t, Micros deadline) {
+Task<CommitResult> StateClient::commit(wire::Transaction t, Micros deadline, bool for_user) {
     CommitResult out;
     const auto writes = static_cast<double>(t.writes.size());
-    auto task = call("POST", "/commit", wire::encode(wire::transaction_request(t)), deadline, writes, false);
+    auto task = call("POST", "/commit", wire::encode(wire::transaction_request(t)), deadline, writes, false, 4U << 20U,
+                     for_user ? 0.7 : 0);
     const io::HttpReply r = co_await std::move(task);
     if (r.status == 429 || r.status == 503 || r.never_sent) {
         out.outcome = Commit::not_now;
--- a/src/service/state_client.hpp
+++ b/src/service/state_client.hpp
@@ -43,7 +43,8 @@
 
     io::Task<GetResult> get(std::string key, io::Micros deadline);
     io::Task<std::optional<wire::StorePage>> page(std::string prefix, std::string after);
-    io::Task<CommitResult> commit(wire::Transaction t, io::Micros deadline);
+    // What a user waits for goes ahead of what this node has queued itself, within limits.
+    io::Task<CommitResult> commit(wire::Transaction t, io::Micros deadline, bool for_user = false);
     io::Task<std::optional<std::uint64_t>> grant(io::Micros life);
     enum class Renewal : std::uint8_t { done, ended, failed };
     io::Task<Renewal> renew(std::uint64_t grant, io::Micros deadline);
@@ -59,7 +60,7 @@
 
   private:
     io::Task<io::HttpReply> call(std::string method, std::string target, std::string body, io::Micros deadline,
-                                 double writes, bool urgent, std::size_t most = 4U << 20U);
+                                 double writes, bool urgent, std::size_t most = 4U << 20U, double debt = 0);
     std::optional<wire::Json> parse(const io::HttpReply& r, const char* what);
 
     io::Loop& loop_;
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -126,7 +126,7 @@
         wire::Transaction t;
         t.conditions = {{keys::job(id), 0}, {keys::final(id), 0}};
         t.writes.push_back({keys::job(id), wire::job_record(job), 0});
-        auto task = n_.state.commit(std::move(t), deadline);
+        auto task = n_.state.commit(std::move(t), deadline, true);
         const CommitResult r = co_await std::move(task);
         if (r.outcome == Commit::done) {
             replica_.apply({keys::job(id), wire::job_record(job), r.revision});
@@ -203,7 +203,7 @@
         wire::Transaction t;
         t.conditions = {{keys::job(id), e->stamp}};
         t.writes.push_back({keys::job(id), wire::job_record(job), 0});
-        auto task = n_.state.commit(std::move(t), deadline);
+        auto task = n_.state.commit(std::move(t), deadline, true);
         const CommitResult r = co_await std::move(task);
         if (r.outcome == Commit::done) {
             replica_.apply({keys::job(id), wire::job_record(job), r.revision});
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "service/budget.hpp"
+
 #include "support.hpp"
 
 namespace hatchwind {
@@ -64,6 +66,19 @@
     EXPECT_THROW((void)service::parse_settings("[]"), SettingsError);
 }
 
+// Submissions once waited behind the node's own group commits for a share of the store's limit.
+TEST(Budget, UsersGoAheadOfTheNodesOwnWritesWithinLimits) {
+    using core::Micros;
+    service::Budget b{10, 10};
+    const Micros now{1'000'000};
+    b.spend(10, now);
+    EXPECT_GT(b.wait(1, now), Micros{0});
+    EXPECT_EQ(b.wait(1, now, 0.7), Micros{0});
+    b.spend(7, now);
+    EXPECT_GT(b.wait(1, now, 0.7), Micros{0});
+    EXPECT_EQ(b.wait(1, now + Micros{2'000'000}), Micros{0});
+}
+
 TEST(Properties, FollowTheJavaRules) {
     const auto p = service::parse_properties(
         "# comment\n! comment too\n\nplain=1\nspaced = two words \ncolon: 3\nblank 4\nlong = a\\\n   b\nesc\\=aped = x\\ty\nempty=\n");
