Mesh links live only while the peer says that it hears us

Ruled out: a stuck commit (no refusals), a missed epoch (number 10 was seen by all), the cloud (releases went on).

--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t kInbound = 16;
 constexpr Micros kBeat{500'000};
 constexpr Micros kSilence{4'000'000};
+constexpr Micros kUnconfirmed{3'000'000};
 }  // namespace
 
 Mesh::Mesh(Node& n, Membership& m) : n_(n), membership_(m), listener_(n.loop, n.settings.mesh) {
@@ -67,6 +68,7 @@
         }
         link.out = wire::encode_frame(wire::MeshHello{wire::kMeshVersion, n_.self.label});
         link.connected = true;
+        link.confirmed = steady_now();
         // Whoever has just started gets the whole picture, with what is known of images.
         for (const auto& [id, view] : n_.picture.machines()) link.out += wire::encode_frame(describe(view));
         while (true) {
@@ -75,6 +77,13 @@
             const Micros deadline = steady_now() + kSilence;
             const bool sent = co_await socket->write(batch, deadline);
             if (!sent || socket->is_stale()) break;
+            // After a cut, or behind a peer that was killed in one, writes vanish into a connection that never
+            // fails. Only the peer's word that it hears us shows that it does: without tables from every
+            // member no lease ever counts as over, and what was lost stays lost.
+            if (steady_now() - link.confirmed > kUnconfirmed) {
+                spdlog::info("event=mesh_unconfirmed peer={}", link.peer.label);
+                break;
+            }
         }
         link.connected = false;
         link.out.clear();
@@ -135,6 +144,9 @@
         }
         for (const auto& r : beat->released) n_.note_released(r);
         if (from == n_.epoch.leader) n_.candidates = {beat->candidates.begin(), beat->candidates.end()};
+        for (const auto& h : beat->hears) {
+            if (h == n_.self.label) links_.at(from)->confirmed = steady_now();
+        }
         p.beat = std::move(*beat);
         p.received = steady_now();
     } else if (auto* report = std::get_if<wire::MeshReport>(&m)) {
@@ -164,7 +176,9 @@
         b.state_ok = n_.state.reachable(steady_now());
         b.fit = n_.fit;
         b.wall_us = io::wall_now().count();
-        b.answered.assign(0, {});
+        for (const auto& [label, link] : links_) {
+            if (n_.peer_fresh(label, steady_now())) b.hears.push_back(label);
+        }
         for (const auto& [machine, at] : n_.answered_here) b.answered.emplace_back(machine, at.count());
         b.released.assign(n_.released_log.begin(), n_.released_log.end());
         if (n_.leads()) b.candidates.assign(n_.candidates.begin(), n_.candidates.end());
--- a/src/service/mesh.hpp
+++ b/src/service/mesh.hpp
@@ -26,6 +26,7 @@
         std::string out;  // frames that wait; bounded
         io::Signal filled;
         bool connected = false;
+        io::Micros confirmed{0};  // steady: when the peer last said that it hears us, or the link was made
     };
     io::Task<void> talk(Link& link);
     io::Task<void> listen(io::Socket socket);
--- a/src/wire/mesh_codec.cpp
+++ b/src/wire/mesh_codec.cpp
@@ -113,6 +113,8 @@
     for (const auto& r : m.released) w.s(r);
     w.u(m.candidates.size());
     for (const auto& c : m.candidates) w.s(c);
+    w.u(m.hears.size());
+    for (const auto& h : m.hears) w.s(h);
 }
 void put(Writer& w, const MeshReport& m) {
     const auto& r = m.report;
@@ -177,6 +179,7 @@
     }
     for (auto n = r.count(); n > 0 && r.ok(); --n) m.released.push_back(r.s());
     for (auto n = r.count(); n > 0 && r.ok(); --n) m.candidates.push_back(r.s());
+    for (auto n = r.count(); n > 0 && r.ok(); --n) m.hears.push_back(r.s());
     return m;
 }
 
--- a/src/wire/mesh_codec.hpp
+++ b/src/wire/mesh_codec.hpp
@@ -36,6 +36,7 @@
     std::vector<std::pair<std::string, std::int64_t>> answered;  // machine -> time of day
     std::vector<std::string> released;                           // machines that the cloud confirmed as gone
     std::vector<std::string> candidates;                         // leader only: the drain planner's set
+    std::vector<std::string> hears;                              // nodes whose beats reach this one
     friend bool operator==(const MeshBeat&, const MeshBeat&) = default;
 };
 
--- a/tests/mesh_codec_test.cpp
+++ b/tests/mesh_codec_test.cpp
@@ -19,6 +19,7 @@
     for (int i = 0; i < n; ++i) {
         b.answered.emplace_back(*rc::gen::arbitrary<std::string>(), b.wall_us - *rc::gen::inRange<std::int64_t>(-1000, 100'000'000));
         b.released.push_back(*rc::gen::arbitrary<std::string>());
+        b.hears.push_back(*rc::gen::arbitrary<std::string>());
     }
     return b;
 }
