--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -60,6 +60,7 @@
         services_[i]->start();
     }
     void kill(std::size_t i) { services_[i].reset(); }
+    io::Address mesh_address(std::size_t i) const { return mesh_[i]; }
 
     Task<std::pair<int, Json>> call(std::size_t node, std::string method, std::string target, Json body) {
         auto task = client.send(addresses_[node], std::move(method), std::move(target), body.is_null() ? "" : wire::encode(body),
@@ -375,6 +376,22 @@
     });
 }
 
+// After a cut a link may take every byte and deliver none. A peer that takes all and never says that it
+// hears us must be dialled anew.
+TEST(Service, AMeshLinkThatNobodyConfirmsIsMadeAnew) {
+    Site site{2};
+    site.kill(1);
+    site.play([](Site& s) -> Task<void> {
+        io::Listener peer{s.loop, s.mesh_address(1)};
+        std::vector<io::Socket> taken;
+        for (int i = 0; i < 2; ++i) {
+            io::Socket socket = co_await peer.accept();
+            taken.push_back(std::move(socket));
+        }
+        EXPECT_EQ(taken.size(), 2U);
+    });
+}
+
 TEST(Service, ACommitWithoutAnAnswerIsSettledByRepeatingIt) {
     Site site{1};
     site.play([](Site& s) -> Task<void> {
