--- a/src/core/fleet_planner.hpp
+++ b/src/core/fleet_planner.hpp
@@ -23,7 +23,6 @@
     // Rent so much that an array's queue starts within this part of the time that its due leaves it.
     double slack_share = 0.8;
     double least_queue_s = 15;
-    double spare_share = 0.0;      // room kept free for services, as a share of what they use
     std::size_t most_per_round = 20;
 };
 
--- a/src/core/picture.hpp
+++ b/src/core/picture.hpp
@@ -18,7 +18,6 @@
     Micros first_seen{};  // steady
     Micros changed{};     // steady: when the newest report came in
     std::optional<Micros> notice_until;  // steady: when the cloud takes it
-    bool lost_capacity = false;
     struct Image {
         double gb = 0;
         Micros used{};
@@ -41,7 +40,6 @@
     // The cloud has confirmed that the machine is gone, for good.
     void release(const std::string& machine);
     bool released(const std::string& machine) const { return released_.contains(machine); }
-    const std::set<std::string>& released_names() const { return released_; }
     const std::map<std::string, MachineView>& machines() const { return machines_; }
     const MachineView* find(const std::string& machine) const;
     void forget(const std::string& machine) { machines_.erase(machine); }
--- a/src/io/http.hpp
+++ b/src/io/http.hpp
@@ -64,7 +64,6 @@
     explicit HttpClient(Loop& loop, std::size_t idle_per_address = 4) : loop_(loop), idle_limit_(idle_per_address) {}
     Task<HttpReply> send(Address to, std::string method, std::string target, std::string body, Micros deadline,
                          std::size_t most_bytes = 4U << 20U);
-    void forget(Address to) { idle_.erase(to); }
 
   private:
     Loop& loop_;
--- a/src/io/task.hpp
+++ b/src/io/task.hpp
@@ -104,7 +104,6 @@
             std::coroutine_handle<Root::promise_type>::from_promise(p).destroy();
         }
     }
-    bool empty() const { return roots_.empty(); }
 
   private:
     using Hook = boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
--- a/src/service/leader.hpp
+++ b/src/service/leader.hpp
@@ -8,13 +8,12 @@
 #include "core/fleet_planner.hpp"
 #include "service/node.hpp"
 #include "service/replica.hpp"
-#include "service/workers.hpp"
 
 namespace hatchwind::service {
 
 class Leader {
   public:
-    Leader(Node& n, Replica& r, Workers& w) : n_(n), replica_(r), workers_(w), budget_(n.settings.cloud_rps * 0.9, n.settings.cloud_rps) {}
+    Leader(Node& n, Replica& r) : n_(n), replica_(r), budget_(n.settings.cloud_rps * 0.9, n.settings.cloud_rps) {}
     // Every node needs the machine types, for submissions too.
     io::Task<void> keep_catalog();
     io::Task<void> keep_list();
@@ -37,7 +36,6 @@
 
     Node& n_;
     Replica& replica_;
-    Workers& workers_;
     Budget budget_;
     std::map<std::string, Known> known_;
     std::map<core::Pool, io::Micros> refused_;
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -16,6 +16,17 @@
     return in;
 }
 
+core::FleetInput fleet_input(const Cluster& c) {
+    core::FleetInput in;
+    in.ledger = &c.ledger;
+    in.picture = &c.picture;
+    in.catalog = &c.types;
+    in.teams = &c.teams;
+    in.objectives = &c.objectives;
+    in.now = c.now;
+    return in;
+}
+
 TEST(DrainPlanner, EveryCandidateSetFitsTogether) {
     holds("candidates leave together", [] {
         const Cluster c = test::draw_cluster();
@@ -167,13 +178,7 @@
     auto j = test::job("req-1", "x", 1, 1);
     j.estimate_s = 1;
     c.ledger.put_job(j, 1);
-    core::FleetInput in;
-    in.ledger = &c.ledger;
-    in.picture = &c.picture;
-    in.catalog = &c.types;
-    in.teams = &c.teams;
-    in.objectives = &c.objectives;
-    in.now = c.now;
+    auto in = fleet_input(c);
     EXPECT_EQ(core::plan_rentals({}, in, c.room()).size(), 1U);
     c.picture.apply(test::report("n-1", "small", "a"), c.now, c.now);
     EXPECT_TRUE(core::plan_rentals({}, in, c.room()).empty());
@@ -187,13 +192,7 @@
     j.spot = false;
     j.types = std::vector<std::string>{"small"};
     c.ledger.put_job(j, 1);
-    core::FleetInput in;
-    in.ledger = &c.ledger;
-    in.picture = &c.picture;
-    in.catalog = &c.types;
-    in.teams = &c.teams;
-    in.objectives = &c.objectives;
-    in.now = c.now;
+    auto in = fleet_input(c);
     const auto count = [&] {
         std::uint32_t n = 0;
         for (const auto& [pool, k] : core::plan_rentals({}, in, c.room())) {
