--- a/src/core/drain_planner.cpp
+++ b/src/core/drain_planner.cpp
@@ -1,11 +1,20 @@
 #include "core/drain_planner.hpp"
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace hatchwind::core {
 
 namespace {
 
+// How many more tasks of a service may be down at once: a quarter of its replicas, at least one, less those
+// that are down already.
+int stop_quota(const JobEntry& e) {
+    if (e.job.kind != JobKind::service) return static_cast<int>(e.job.tasks);
+    const int down = static_cast<int>(e.unstarted());
+    return std::max(1, static_cast<int>(e.job.tasks) / 4) - down;
+}
+
 class Trial {
   public:
     Trial(const DrainInput& in, Room& room, DrainState& state) : in_(in), room_(room), state_(state) {}
@@ -13,59 +22,104 @@
     // Finds a home for one task. Remembered destinations first, then from the list's far end.
     bool fit(const JobEntry& e, const TaskRef& ref, const std::string& from, const std::set<std::string>& skip) {
         if (const auto hint = state_.destinations.find(ref); hint != state_.destinations.end()) {
-            for (std::size_t i = 0; i < room_.machines().size(); ++i) {
-                if (room_.machines()[i].id == hint->second && fits(e, i, from, skip)) return take(e, ref, i);
-            }
+            const auto at = room_.at(hint->second);
+            if (at != Room::npos && fits(e, at, from, skip)) return take(e, ref, at);
         }
         for (std::size_t i = room_.machines().size(); i-- > 0;) {
             if (fits(e, i, from, skip)) return take(e, ref, i);
         }
         return false;
     }
+    void leave(const JobEntry& e, const std::string& zone) {
+        if (!e.job.spread && !e.job.one_zone) return;
+        zone_use(e).remove(zone);
+        moves_.push_back({&e, zone, false});
+    }
+    // One more of this job's tasks is down; false when its quota forbids that.
+    bool stop(const JobEntry& e) {
+        quota_journal_.push_back(&e);
+        return --quota_of(e) >= 0;
+    }
+    bool takes_tasks(const std::string& machine) const { return taking_.contains(machine); }
+
+    // Trials nest by position, as the room's do. Copies of whole maps for each trial were quadratic in the fleet.
+    struct Mark {
+        std::size_t room, moves, destinations, quota;
+    };
+    Mark mark() const { return {room_.mark(), moves_.size(), placed_.size(), quota_journal_.size()}; }
+    void revert(const Mark& m) {
+        room_.revert(m.room);
+        for (; moves_.size() > m.moves; moves_.pop_back()) {
+            auto& z = zone_use(*moves_.back().entry);
+            if (moves_.back().added) {
+                z.remove(moves_.back().zone);
+            } else {
+                z.add(moves_.back().zone);
+            }
+        }
+        for (; placed_.size() > m.destinations; placed_.pop_back()) {
+            const auto it = destinations.find(placed_.back());
+            const auto count = taking_.find(it->second);
+            if (--count->second == 0) taking_.erase(count);
+            destinations.erase(it);
+        }
+        for (; quota_journal_.size() > m.quota; quota_journal_.pop_back()) ++quota_of(*quota_journal_.back());
+    }
 
     std::map<TaskRef, std::string> destinations;
-    std::map<std::string, ZoneUse> zones;
 
+  private:
+    struct Move {
+        const JobEntry* entry;
+        std::string zone;
+        bool added;
+    };
     ZoneUse& zone_use(const JobEntry& e) {
-        return zones.try_emplace(e.job.id, ZoneUse::of(e, room_)).first->second;
+        const auto [it, fresh] = zones_.try_emplace(&e);
+        if (fresh) it->second = ZoneUse::of(e, room_);
+        return it->second;
+    }
+    int& quota_of(const JobEntry& e) {
+        const auto [it, fresh] = quota_.try_emplace(&e, 0);
+        if (fresh) it->second = stop_quota(e);
+        return it->second;
     }
-
-  private:
     bool fits(const JobEntry& e, std::size_t at, const std::string& from, const std::set<std::string>& skip) {
         const RoomMachine& m = room_.machines()[at];
-        return m.id != from && m.usable && !m.draining && !skip.contains(m.id) && e.job.need.fits_in(m.free) &&
-               may_run_on(e.job, m) && zone_use(e).allows(e.job, m.zone);
+        return m.usable && !m.draining && e.job.need.fits_in(m.free) && may_run_on(e.job, m) && m.id != from &&
+               !skip.contains(m.id) && ((!e.job.spread && !e.job.one_zone) || zone_use(e).allows(e.job, m.zone));
     }
     bool take(const JobEntry& e, const TaskRef& ref, std::size_t at) {
+        const RoomMachine& m = room_.machines()[at];
         room_.take(at, e.job.need);
-        zone_use(e).add(room_.machines()[at].zone);
-        destinations[ref] = room_.machines()[at].id;
+        if (e.job.spread || e.job.one_zone) {
+            zone_use(e).add(m.zone);
+            moves_.push_back({&e, m.zone, true});
+        }
+        if (destinations.emplace(ref, m.id).second) {
+            placed_.push_back(ref);
+            ++taking_[m.id];
+        }
         return true;
     }
 
     const DrainInput& in_;
     Room& room_;
     DrainState& state_;
+    std::unordered_map<const JobEntry*, ZoneUse> zones_;
+    std::unordered_map<const JobEntry*, int> quota_;
+    std::unordered_map<std::string, std::size_t> taking_;  // machine -> tasks that the trial puts there
+    std::vector<Move> moves_;
+    std::vector<TaskRef> placed_;
+    std::vector<const JobEntry*> quota_journal_;
 };
 
-// How many more tasks of a service may be down at once: a quarter of its replicas, at least one, less those
-// that are down already.
-int stop_quota(const JobEntry& e) {
-    if (e.job.kind != JobKind::service) return static_cast<int>(e.job.tasks);
-    const int down = static_cast<int>(e.unstarted());
-    return std::max(1, static_cast<int>(e.job.tasks) / 4) - down;
-}
-
 }  // namespace
 
 DrainResult plan_drains(const DrainSettings& s, const DrainInput& in, Room room, DrainState& state) {
     DrainResult out;
     std::erase_if(state.recent_stops, [&](const auto& r) { return in.now - r.second >= s.recent_stop; });
     Trial trial{in, room, state};
-    std::map<std::string, int> quota;
-    const auto quota_of = [&](const JobEntry& e) -> int& {
-        return quota.try_emplace(e.job.id, stop_quota(e)).first->second;
-    };
     const auto hold = [&] {
         state.candidate_since.clear();
         state.destinations = std::move(trial.destinations);
@@ -76,10 +130,10 @@
     // What is being drained, and what was stopped and has no new place yet, must fit first.
     for (const auto& id : in.draining) {
         const RoomMachine* from = room.find(id);
-        for (const auto& ref : in.ledger->on_machine(id)) {
-            const JobEntry* e = in.ledger->find(ref.job);
-            if (from != nullptr) trial.zone_use(*e).remove(from->zone);
-            quota_of(*e) -= 1;
+        for (const auto& [ref, held] : in.ledger->on_machine(id)) {
+            const JobEntry* e = held.entry;
+            if (from != nullptr) trial.leave(*e, from->zone);
+            (void)trial.stop(*e);
             if (!trial.fit(*e, ref, id, {})) return hold();
         }
     }
@@ -106,30 +160,23 @@
         if (in.out_of_time()) break;
         if (standing - candidates.size() <= s.fleet_minimum) break;
         const RoomMachine* from = room.find(id);
-        const auto mark = room.mark();
-        const auto zones_before = trial.zones;
-        const auto destinations_before = trial.destinations;
-        const auto quota_before = quota;
-        bool ok = true;
+        const auto mark = trial.mark();
         // A machine that takes tasks in this very trial is needed.
-        for (const auto& [ref, to] : trial.destinations) ok = ok && to != id;
-        for (const auto& ref : in.ledger->on_machine(id)) {
+        bool ok = !trial.takes_tasks(id);
+        for (const auto& [ref, held] : in.ledger->on_machine(id)) {
             if (!ok) break;
-            const JobEntry* e = in.ledger->find(ref.job);
-            if (e->job.kind == JobKind::gang || --quota_of(*e) < 0) {
+            const JobEntry* e = held.entry;
+            if (e->job.kind == JobKind::gang || !trial.stop(*e)) {
                 ok = false;
                 break;
             }
-            trial.zone_use(*e).remove(from->zone);
+            trial.leave(*e, from->zone);
             ok = trial.fit(*e, ref, id, candidates);
         }
         if (ok) {
             candidates.insert(id);
         } else {
-            room.revert(mark);
-            trial.zones = zones_before;
-            trial.destinations = destinations_before;
-            quota = quota_before;
+            trial.revert(mark);
         }
     }
 
--- a/src/core/fleet_planner.cpp
+++ b/src/core/fleet_planner.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <limits>
 #include <optional>
+#include <unordered_map>
 
 namespace hatchwind::core {
 
@@ -27,6 +28,7 @@
             room_.add(std::move(m));
         }
         for (const auto& [name, team] : *in.teams) used_[name] = in.ledger->team_use(name);
+        for (const auto& m : room_.machines()) ++in_zone_[m.zone];
     }
 
     std::map<Pool, std::uint32_t> run() {
@@ -40,6 +42,7 @@
         // Arrays share room over time: so much as empties their backlog in the wanted time. What their running
         // tasks will leave within that time is room for the queue too.
         lend_running();
+        searched_.clear();  // there is room again
         for (const JobEntry* e : queue) {
             if (e->job.kind == JobKind::array) place_share(*e);
         }
@@ -53,36 +56,52 @@
         return u.cpus + j.need.cpus <= t.cpus_max + kSlack && u.gpus + j.need.gpus <= t.gpus_max + kSlack;
     }
 
-    bool take(const JobEntry& e, ZoneUse& zones, std::size_t i) {
-        const RoomMachine& m = room_.machines()[i];
-        if (!m.usable || m.draining || !e.job.need.fits_in(m.free) || !may_run_on(e.job, m) ||
-            !zones.allows(e.job, m.zone)) {
-            return false;
+    bool open_for(const JobEntry& e, const ZoneUse& zones, const RoomMachine& m) const {
+        return m.usable && !m.draining && e.job.need.fits_in(m.free) && may_run_on(e.job, m) && zones.allows(e.job, m.zone);
+    }
+
+    // As many of n tasks as this machine takes.
+    std::uint32_t fill(const JobEntry& e, ZoneUse& zones, std::size_t i, std::uint32_t n) {
+        std::uint32_t taken = 0;
+        while (taken < n && within_limit(e.job) && open_for(e, zones, room_.machines()[i])) {
+            room_.take(i, e.job.need);
+            used_[e.job.team] += e.job.need;
+            zones.add(room_.machines()[i].zone);
+            ++taken;
         }
-        room_.take(i, e.job.need);
-        zones.add(m.zone);
-        used_[e.job.team] += e.job.need;
-        return true;
+        return taken;
     }
 
-    // One more task: in the room there is, or on a machine to rent. False when neither is to be had.
-    bool one(const JobEntry& e, ZoneUse& zones, double cpus_wanted) {
-        if (!within_limit(e.job)) return false;
-        for (std::size_t i = 0; i < room_.machines().size(); ++i) {
-            if (take(e, zones, i)) return true;
+    // Room for n more tasks: what there is, then machines to rent. Returns how many found some.
+    std::uint32_t some(const JobEntry& e, ZoneUse& zones, std::uint32_t n) {
+        std::uint32_t got = 0;
+        // Room only shrinks: a job of the same shape goes on where the last one stopped.
+        std::size_t& from = searched_[{e.job.need.cpus, e.job.need.gpus, e.job.need.memory_gb, e.job.spot, e.job.zone, e.job.types}];
+        const bool zoned = e.job.spread || e.job.one_zone;
+        std::size_t i = from;
+        for (; i < room_.machines().size() && got < n; ++i) {
+            got += fill(e, zones, i, n - got);
+            if (!within_limit(e.job)) return got;
+        }
+        if (!zoned) from = i == 0 ? 0 : i - 1;
+        while (got < n && within_limit(e.job) && total_ < s_.most_per_round) {
+            const auto pool = choose(e, zones, (n - got) * e.job.need.cpus);
+            if (!pool) break;
+            ++rent_[*pool];
+            ++total_;
+            RoomMachine m;
+            m.id = "planned-" + std::to_string(total_);
+            m.type = &in_.catalog->at(pool->type);
+            m.zone = pool->zone;
+            m.spot = pool->spot;
+            m.free = m.type->size;
+            ++in_zone_[m.zone];
+            const auto at = room_.add(std::move(m));
+            const std::uint32_t taken = fill(e, zones, at, n - got);
+            if (taken == 0) break;
+            got += taken;
         }
-        const auto pool = choose(e, zones, cpus_wanted);
-        if (!pool || total_ >= s_.most_per_round) return false;
-        ++rent_[*pool];
-        ++total_;
-        RoomMachine m;
-        m.id = "planned-" + std::to_string(total_);
-        m.type = &in_.catalog->at(pool->type);
-        m.zone = pool->zone;
-        m.spot = pool->spot;
-        m.free = m.type->size;
-        const auto i = room_.add(std::move(m));
-        return take(e, zones, i);
+        return got;
     }
 
     std::optional<Pool> choose(const JobEntry& e, const ZoneUse& zones, double cpus_wanted) const {
@@ -118,16 +137,13 @@
     }
 
     std::size_t machines_in(const std::string& zone) const {
-        return static_cast<std::size_t>(std::count_if(room_.machines().begin(), room_.machines().end(),
-                                                      [&](const auto& m) { return m.zone == zone; }));
+        const auto it = in_zone_.find(zone);
+        return it == in_zone_.end() ? 0 : it->second;
     }
 
     void place_all(const JobEntry& e) {
         ZoneUse zones = ZoneUse::of(e, room_);
-        const std::uint32_t n = e.unstarted();
-        for (std::uint32_t k = 0; k < n; ++k) {
-            if (!one(e, zones, (n - k) * e.job.need.cpus)) return;
-        }
+        some(e, zones, e.unstarted());
     }
 
     // The part of the wanted time for which a task of this job needs its place.
@@ -137,14 +153,17 @@
     }
 
     void lend_running() {
+        std::unordered_map<const JobEntry*, double> shares;
         for (std::size_t i = 0; i < room_.machines().size(); ++i) {
             const RoomMachine& m = room_.machines()[i];
             if (m.view == nullptr || !m.usable || m.draining) continue;
-            for (const auto& ref : in_.ledger->on_machine(m.id)) {
-                const JobEntry* e = in_.ledger->find(ref.job);
+            for (const auto& [ref, held] : in_.ledger->on_machine(m.id)) {
+                const JobEntry* e = held.entry;
                 if (e->job.kind != JobKind::array) continue;
+                const auto [share, fresh] = shares.try_emplace(e, 0);
                 // Half of its run is still to come, as far as anyone knows.
-                room_.give(i, e->job.need * (1 - time_share(e->job, task_seconds(e->job) / 2)));
+                if (fresh) share->second = 1 - time_share(e->job, task_seconds(e->job) / 2);
+                room_.give(i, e->job.need * share->second);
             }
         }
     }
@@ -155,17 +174,15 @@
         ZoneUse zones = ZoneUse::of(e, room_);
         if (!has_home(e.job)) {
             // However short the queue: without any machine that could take it, it would wait for ever.
-            one(e, zones, e.job.need.cpus);
+            some(e, zones, 1);
             return;
         }
-        owed_ += share * e.unstarted();
-        while (owed_ >= 1.0) {
-            if (!one(e, zones, owed_ * e.job.need.cpus)) {
-                owed_ = std::min(owed_, 1.0);
-                return;
-            }
-            owed_ -= 1.0;
-        }
+        // What has waited too long needs a place now, whatever the queue would leave it.
+        owed_ += must_begin(e, in_.wall) ? std::max(1.0, share * e.unstarted()) : share * e.unstarted();
+        const auto whole = static_cast<std::uint32_t>(owed_);
+        if (whole == 0) return;
+        const auto got = some(e, zones, std::min(whole, e.unstarted()));
+        owed_ = got < whole ? std::min(owed_ - got, 1.0) : owed_ - got;
     }
 
     const FleetSettings& s_;
@@ -173,6 +190,10 @@
     Room& room_;
     std::map<Pool, std::uint32_t> rent_;
     std::map<std::string, Amount> used_;
+    std::map<std::string, std::size_t> in_zone_;
+    std::map<std::tuple<double, double, double, bool, std::optional<std::string>, std::optional<std::vector<std::string>>>,
+             std::size_t>
+        searched_;
     double owed_ = 0;
     std::size_t total_ = 0;
 };
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -10,17 +10,31 @@
     return n;
 }
 
-void Ledger::account(const JobEntry& e, const Chunk& c, int sign) {
-    for (const auto& [task, a] : c.open) {
-        if (sign > 0) {
-            by_machine_[a.machine].insert({e.job.id, task});
-        } else if (auto it = by_machine_.find(a.machine); it != by_machine_.end()) {
-            it->second.erase({e.job.id, task});
-            if (it->second.empty()) by_machine_.erase(it);
+void Ledger::drop(const TaskRef& ref, const std::string& machine) {
+    const auto it = by_machine_.find(machine);
+    if (it == by_machine_.end()) return;
+    it->second.erase(ref);
+    if (it->second.empty()) by_machine_.erase(it);
+}
+
+void Ledger::account(const JobEntry& e, const Chunk& before, const Chunk& after) {
+    auto b = before.open.begin();
+    auto a = after.open.begin();
+    while (b != before.open.end() || a != after.open.end()) {
+        if (a != after.open.end() && b != before.open.end() && a->first == b->first && a->second == b->second) {
+            ++a;
+            ++b;
+            continue;
+        }
+        if (b != before.open.end() && (a == after.open.end() || b->first <= a->first)) {
+            drop({e.job.id, b->first}, b->second.machine);
+            ++b;
+        } else {
+            by_machine_[a->second.machine][{e.job.id, a->first}] = {&e, a->second.number, a->second.session};
+            ++a;
         }
     }
-    auto& use = use_[e.job.team];
-    use += e.job.need * (sign * static_cast<double>(c.open.size()));
+    use_[e.job.team] += e.job.need * (static_cast<double>(after.open.size()) - static_cast<double>(before.open.size()));
 }
 
 void Ledger::put_job(Job job, Stamp stamp) {
@@ -40,18 +54,17 @@
     JobEntry& e = it->second;
     Chunk& mine = e.chunks[index];
     if (mine.stamp >= chunk.stamp) return;
-    account(e, mine, -1);
+    account(e, mine, chunk);
     e.open = e.open - static_cast<std::uint32_t>(mine.open.size()) + static_cast<std::uint32_t>(chunk.open.size());
     e.done = e.done - mine.done.size() + chunk.done.size();
     mine = std::move(chunk);
-    account(e, mine, +1);
 }
 
 void Ledger::erase_job(const std::string& job, Stamp at) {
     const auto it = jobs_.find(job);
     if (it == jobs_.end() || it->second.stamp >= at) return;
     for (const auto& [index, c] : it->second.chunks) {
-        account(it->second, c, -1);
+        account(it->second, c, {});
         if (c.stamp != 0) orphans_[{job, index}] = c.stamp;
     }
     jobs_.erase(it);
@@ -63,7 +76,7 @@
     if (it == jobs_.end()) return;
     const auto c = it->second.chunks.find(index);
     if (c == it->second.chunks.end() || c->second.stamp >= at) return;
-    account(it->second, c->second, -1);
+    account(it->second, c->second, {});
     it->second.open -= static_cast<std::uint32_t>(c->second.open.size());
     it->second.done -= c->second.done.size();
     it->second.chunks.erase(c);
@@ -95,8 +108,8 @@
     return it == use_.end() ? Amount{} : it->second;
 }
 
-const std::set<TaskRef>& Ledger::on_machine(const std::string& machine) const {
-    static const std::set<TaskRef> none;
+const HeldTasks& Ledger::on_machine(const std::string& machine) const {
+    static const HeldTasks none;
     const auto it = by_machine_.find(machine);
     return it == by_machine_.end() ? none : it->second;
 }
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -50,6 +50,14 @@
     friend auto operator<=>(const TaskRef&, const TaskRef&) = default;
 };
 
+// A recorded attempt as the machine's side sees it. The entry lives as long as the record.
+struct Held {
+    const JobEntry* entry = nullptr;
+    std::uint64_t number = 0;
+    std::uint64_t session = 0;
+};
+using HeldTasks = std::map<TaskRef, Held>;
+
 class Ledger {
   public:
     using Jobs = std::map<std::string, JobEntry>;
@@ -66,16 +74,19 @@
     const Attempt* open_attempt(const std::string& job, std::uint32_t task) const;
     // What the team's recorded attempts use that are not known to be gone.
     Amount team_use(const std::string& team) const;
-    const std::set<TaskRef>& on_machine(const std::string& machine) const;
-    const std::unordered_map<std::string, std::set<TaskRef>>& by_machine() const { return by_machine_; }
+    const HeldTasks& on_machine(const std::string& machine) const;
+    const std::unordered_map<std::string, HeldTasks>& by_machine() const { return by_machine_; }
     // Chunk records whose job is over: left by a node that ended between its commits.
     const std::map<std::pair<std::string, std::uint32_t>, Stamp>& orphans() const { return orphans_; }
 
   private:
-    void account(const JobEntry& e, const Chunk& c, int sign);
+    // Moves the indexes from one state of a record to the next, by what differs: a record of 64 attempts is
+    // written again for each of its tasks that starts or ends.
+    void account(const JobEntry& e, const Chunk& before, const Chunk& after);
+    void drop(const TaskRef& ref, const std::string& machine);
     Jobs jobs_;
     std::unordered_map<std::string, Amount> use_;
-    std::unordered_map<std::string, std::set<TaskRef>> by_machine_;
+    std::unordered_map<std::string, HeldTasks> by_machine_;
     std::map<std::pair<std::string, std::uint32_t>, Stamp> orphans_;
 };
 
--- a/src/core/picture.cpp
+++ b/src/core/picture.cpp
@@ -4,26 +4,54 @@
 
 namespace hatchwind::core {
 
-bool Picture::apply(const WorkerReport& r, Micros steady, Micros heard_wall) {
+bool Picture::apply(WorkerReport r, Micros steady, Micros heard_wall, bool answer, Micros doubt_after) {
     // A late report must not bring back a machine that the cloud has confirmed as gone.
     if (released_.contains(r.machine)) return false;
     auto [it, fresh] = machines_.try_emplace(r.machine);
     MachineView& m = it->second;
     if (!fresh && std::pair{m.last.session, m.last.tick} >= std::pair{r.session, r.tick}) return false;
     if (fresh) m.first_seen = steady;
-    // A worker that lost its lease keeps its images: the machine did not restart.
-    m.last = r;
+    if (answer || doubt_after == Micros::max()) {
+        m.confirmed = true;
+    } else if (!fresh && steady - m.changed > doubt_after) {
+        m.confirmed = false;
+    }
     m.changed = steady;
     m.heard = std::max(m.heard, heard_wall);
     m.notice_until.reset();
     if (r.notice_s) m.notice_until = steady + Micros{static_cast<std::int64_t>(*r.notice_s * 1e6)};
-    m.index.clear();
-    for (std::size_t i = 0; i < m.last.tasks.size(); ++i) {
-        const auto& t = m.last.tasks[i];
-        // An exited attempt may be listed beside a newer one of the same task: the newest counts.
-        auto [at, added] = m.index.try_emplace({t.job, t.task}, i);
-        if (!added && m.last.tasks[at->second].attempt < t.attempt) at->second = i;
-    }
+    // A worker that lost its lease keeps its images: the machine did not restart.
+    const bool same_tasks = std::equal(r.tasks.begin(), r.tasks.end(), m.last.tasks.begin(), m.last.tasks.end(),
+                                       [](const TaskReport& x, const TaskReport& y) {
+                                           return x.task == y.task && x.attempt == y.attempt && x.job == y.job;
+                                       });
+    const bool same = same_tasks && m.last.session == r.session && m.last.tasks == r.tasks &&
+                      m.last.notice_s.has_value() == r.notice_s.has_value();
+    m.last = std::move(r);
+    if (!same || fresh) m.content_tick = m.last.tick;
+    if (same_tasks) return true;
+    m.index.resize(m.last.tasks.size());
+    for (std::uint32_t i = 0; i < m.index.size(); ++i) m.index[i] = i;
+    // An exited attempt may be listed beside a newer one of the same task: the newest counts.
+    std::sort(m.index.begin(), m.index.end(), [&](std::uint32_t x, std::uint32_t y) {
+        const auto& s = m.last.tasks[x];
+        const auto& t = m.last.tasks[y];
+        return std::tie(s.task, s.job, t.attempt) < std::tie(t.task, t.job, s.attempt);
+    });
+    return true;
+}
+
+bool Picture::alive(const std::string& machine, std::uint64_t session, std::uint64_t tick, std::uint64_t token,
+                    std::uint64_t content_tick, Micros steady, Micros heard_wall) {
+    const auto it = machines_.find(machine);
+    if (it == machines_.end()) return false;
+    MachineView& m = it->second;
+    // The sender's tasks are ours only in the same session and when we have seen their last change.
+    if (m.last.session != session || m.last.tick < content_tick || m.last.tick >= tick) return false;
+    m.last.tick = tick;
+    m.last.token = std::max(m.last.token, token);
+    m.changed = steady;
+    m.heard = std::max(m.heard, heard_wall);
     return true;
 }
 
@@ -51,7 +79,16 @@
 
 void Picture::release(const std::string& machine) {
     machines_.erase(machine);
-    released_.insert(machine);
+    if (!released_.insert(machine).second) return;
+    released_order_.push_back(machine);
+    if (released_order_.size() <= kReleasedKept) return;
+    released_.erase(released_order_.front());
+    released_order_.pop_front();
+}
+
+void Picture::confirm(const std::string& machine) {
+    const auto it = machines_.find(machine);
+    if (it != machines_.end()) it->second.confirmed = true;
 }
 
 const MachineView* Picture::find(const std::string& machine) const {
@@ -66,13 +103,19 @@
         return v;
     }
     const MachineView* m = p.find(a.machine);
-    if (m == nullptr || m->last.session < a.session) return v;
-    if (m->last.session > a.session) {
+    return m == nullptr ? v : view_attempt(*m, job, task, a.number, a.session);
+}
+
+AttemptView view_attempt(const MachineView& m, const std::string& job, std::uint32_t task, std::uint64_t number,
+                         std::uint64_t session) {
+    AttemptView v;
+    if (m.last.session < session) return v;
+    if (m.last.session > session) {
         v.fate = Fate::gone;
         return v;
     }
-    const TaskReport* t = m->task(job, task);
-    if (t == nullptr || t->attempt != a.number) {
+    const TaskReport* t = m.task(job, task);
+    if (t == nullptr || t->attempt != number) {
         v.fate = Fate::unlisted;
         return v;
     }
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -5,17 +5,35 @@
 #include <limits>
 #include <optional>
 #include <tuple>
+#include <unordered_map>
+#include <unordered_set>
 
 namespace hatchwind::core {
 
+namespace {
+
+Micros seconds(double s) { return Micros{static_cast<std::int64_t>(s * 1e6)}; }
+
+// Once all wishes are missed: behind what can still be met, since serving the latest first under overload makes
+// every job late in turn; but by a time of its own, so that newcomers do not pass it for ever.
+Micros late_due(const Job& j, double last_wish_s) { return j.accepted + seconds(std::max(240.0, 2 * last_wish_s)); }
+
+double last_wish(const Job& j, const std::vector<Objective>& objectives) {
+    double last = j.deadline_s.value_or(0);
+    for (const auto& o : objectives) {
+        if (o.job_class == j.job_class) last = std::max(last, o.within_s);
+    }
+    return last;
+}
+
+}  // namespace
+
 Micros due_time(const Job& j, const std::vector<Objective>& objectives, Micros wall) {
     // Estimates are often wrong by half: what might still be met counts as such.
-    const Micros run{static_cast<std::int64_t>(j.estimate_s * 0.5e6)};
-    // Nothing wanted, or all of it missed: some time, but behind what can still be met. Serving the latest
-    // first under overload makes every job late in turn.
-    Micros due = std::max(j.accepted, wall) + Micros{600'000'000};
+    const Micros run = seconds(j.estimate_s * 0.5);
+    Micros due = late_due(j, last_wish(j, objectives));
     const auto consider = [&](double within_s) {
-        const Micros at = j.accepted + Micros{static_cast<std::int64_t>(within_s * 1e6)};
+        const Micros at = j.accepted + seconds(within_s);
         if (at >= wall + run) due = std::min(due, at);
     };
     if (j.deadline_s) consider(*j.deadline_s);
@@ -25,20 +43,28 @@
     return due;
 }
 
+bool must_begin(const JobEntry& e, Micros wall) {
+    return e.done == 0 && e.open == 0 && wall - e.job.accepted >= kBeginWithin;
+}
+
 std::vector<const JobEntry*> queue_order(const Ledger& l, const std::set<std::string>& teams,
                                          const std::vector<Objective>& objectives, Micros wall) {
     struct Key {
-        int priority;
+        int rank;
         Micros due;
         const JobEntry* e;
     };
     std::vector<Key> keys;
     for (const auto& [id, e] : l.jobs()) {
         if (e.job.cancelled || e.unstarted() == 0 || !teams.contains(e.job.team)) continue;
-        keys.push_back({-static_cast<int>(e.job.priority), due_time(e.job, objectives, wall), &e});
+        const Micros due = due_time(e.job, objectives, wall);
+        // What is late even by its last due time goes before other arrays of any priority.
+        int rank = -static_cast<int>(e.job.priority);
+        if (wall > due) rank = std::min(rank, -static_cast<int>(Priority::high));
+        keys.push_back({rank, due, &e});
     }
     std::sort(keys.begin(), keys.end(), [](const Key& a, const Key& b) {
-        return std::tie(a.priority, a.due, a.e->job.id) < std::tie(b.priority, b.due, b.e->job.id);
+        return std::tie(a.rank, a.due, a.e->job.id) < std::tie(b.rank, b.due, b.e->job.id);
     });
     std::vector<const JobEntry*> out;
     out.reserve(keys.size());
@@ -52,23 +78,39 @@
   public:
     Pass(const PlacementInput& in, Room& room) : in_(in), room_(room) {
         for (const auto& [ref, r] : in.reservations) {
-            if (r.until <= in.now) continue;
+            if (r.until <= in.now || r.waiting) continue;
             out_.reservations.emplace(ref, r);
-            for (std::size_t i = 0; i < room_.machines().size(); ++i) {
-                if (room_.machines()[i].id == r.machine) room_.take(i, r.need);
-            }
+            hold(r, 1.0);
+        }
+        for (const auto& r : in.foreign) {
+            if (!r.waiting) hold(r, 1.0);
         }
         for (const auto& [name, team] : *in.teams) used_[name] = in.ledger->team_use(name);
     }
 
     PlacementResult run() {
-        for (const JobEntry* e : queue_order(*in_.ledger, in_.own_teams, *in_.objectives, in_.wall)) {
-            if (out_.starts.size() >= in_.most_starts) break;
-            if (const auto b = in_.job_backoff.find(e->job.id); b != in_.job_backoff.end() && b->second > in_.now) {
-                continue;
-            }
+        const auto queue = queue_order(*in_.ledger, in_.own_teams, *in_.objectives, in_.wall);
+        // What has waited too long begins first, each with one task, the longest wait first; room that it does not
+        // find is held for it, so that neither small nor urgent work takes what is set free.
+        std::vector<const JobEntry*> overdue;
+        for (const JobEntry* e : queue) {
+            if (must_begin(*e, in_.wall)) overdue.push_back(e);
+        }
+        std::stable_sort(overdue.begin(), overdue.end(),
+                         [](const JobEntry* a, const JobEntry* b) { return a->job.accepted < b->job.accepted; });
+        for (const JobEntry* e : overdue) {
+            if (full()) break;
+            if (!backed_off(*e)) begin(*e);
+        }
+        // Overdue jobs of different owners may try for the same room; only others keep away from it.
+        for (const auto& r : in_.foreign) {
+            if (r.waiting) hold(r, 1.0);
+        }
+        for (const JobEntry* e : queue) {
+            if (full()) break;
+            if (backed_off(*e)) continue;
             if (e->job.kind == JobKind::gang) {
-                place_gang(*e);
+                if (!begun_.contains(e)) place_gang(*e);
             } else {
                 place_tasks(*e);
             }
@@ -77,6 +119,57 @@
     }
 
   private:
+    bool full() const { return out_.starts.size() >= in_.most_starts || records_.size() >= in_.most_records; }
+    bool backed_off(const JobEntry& e) const {
+        const auto b = in_.job_backoff.find(e.job.id);
+        return b != in_.job_backoff.end() && b->second > in_.now;
+    }
+
+    // First task of an overdue job, or all of an overdue gang.
+    void begin(const JobEntry& e) {
+        begun_.insert(&e);
+        const std::uint32_t n = e.job.kind == JobKind::gang ? e.job.tasks : 1;
+        if (!within_limit(e.job, n)) {
+            // The team's later jobs would take what its limit leaves, for ever.
+            used_[e.job.team] += e.job.need * static_cast<double>(n);
+            return;
+        }
+        const auto before = out_.starts.size();
+        if (e.job.kind == JobKind::gang) {
+            place_gang(e);
+        } else {
+            place_tasks(e, 1);
+        }
+        if (out_.starts.size() != before || out_.reservations.contains({e.job.id, 0})) return;
+        // Holds room where most of it is free: nobody else takes it, so it grows until the task fits.
+        std::vector<std::size_t> order;
+        for (std::size_t i = 0; i < room_.machines().size(); ++i) {
+            const RoomMachine& m = room_.machines()[i];
+            if (m.usable && !m.draining && may_run_on(e.job, m) && e.job.need.fits_in(m.type->size)) order.push_back(i);
+        }
+        std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+            return std::pair{-room_.machines()[a].free.cpus, a} < std::pair{-room_.machines()[b].free.cpus, b};
+        });
+        if (e.job.one_zone && !order.empty()) {
+            std::map<std::string, double> free;
+            for (const auto i : order) free[room_.machines()[i].zone] += std::max(0.0, room_.machines()[i].free.cpus);
+            const auto zone = std::max_element(free.begin(), free.end(),
+                                               [](const auto& a, const auto& b) { return a.second < b.second; })->first;
+            std::erase_if(order, [&](std::size_t i) { return room_.machines()[i].zone != zone; });
+        }
+        std::size_t next = 0;
+        for (std::uint32_t t = 0; t < n && next < order.size();) {
+            // What is held already, for an older job, is full beyond its size.
+            if (room_.machines()[order[next]].free.cpus < 0) {
+                ++next;
+                continue;
+            }
+            const Reservation r{room_.machines()[order[next]].id, e.job.need, in_.now + Micros{5'000'000}, true};
+            out_.reservations[{e.job.id, t++}] = r;
+            hold(r, 1.0);
+        }
+    }
+
     bool within_limit(const Job& j, std::uint32_t more = 1) const {
         const auto t = in_.teams->find(j.team);
         if (t == in_.teams->end()) return false;
@@ -87,16 +180,24 @@
     // In the sense of the promise to teams: this job and the team's earlier unfinished ones fit into the
     // guarantee together. A team with a longer queue than that has no claim on others' running work.
     bool within_guarantee(const Job& j) {
-        const auto [it, fresh] = guaranteed_.try_emplace(j.id, false);
-        if (!fresh) return it->second;
-        Amount sum;
-        for (const auto& [id, e] : in_.ledger->jobs()) {
-            if (e.job.team != j.team || e.job.cancelled) continue;
-            if (e.job.accepted < j.accepted || id == j.id) sum += e.job.need * static_cast<double>(e.job.tasks - e.done);
+        if (!guarantees_known_) {
+            guarantees_known_ = true;
+            std::vector<const JobEntry*> by_age;
+            for (const auto& [id, e] : in_.ledger->jobs()) {
+                if (!e.job.cancelled && in_.teams->contains(e.job.team)) by_age.push_back(&e);
+            }
+            std::sort(by_age.begin(), by_age.end(), [](const JobEntry* a, const JobEntry* b) {
+                return std::tie(a->job.accepted, a->job.id) < std::tie(b->job.accepted, b->job.id);
+            });
+            std::map<std::string, Amount> sums;
+            for (const JobEntry* e : by_age) {
+                Amount& sum = sums[e->job.team];
+                sum += e->job.need * static_cast<double>(e->job.tasks - e->done);
+                const auto& t = in_.teams->at(e->job.team);
+                if (sum.cpus <= t.cpus + kSlack && sum.gpus <= t.gpus + kSlack) guaranteed_.insert(e->job.id);
+            }
         }
-        const auto& t = in_.teams->at(j.team);
-        it->second = sum.cpus <= t.cpus + kSlack && sum.gpus <= t.gpus + kSlack;
-        return it->second;
+        return guaranteed_.contains(j.id);
     }
 
     // Seconds until the image would be there.
@@ -147,24 +248,67 @@
         room_.take(at, e.job.need);
         used_[e.job.team] += e.job.need;
         out_.starts.push_back({e.job.id, task, {number, m.id, m.session}});
+        started_.insert({e.job.id, task});
+        records_.insert({&e, task / kChunkTasks});
     }
 
-    void place_tasks(const JobEntry& e) {
-        ZoneUse zones = ZoneUse::of(e, room_);
+    // What decides where a job's tasks may go, the zones of its other tasks apart.
+    using Shape = std::tuple<double, double, double, bool, std::optional<std::string>, std::optional<std::vector<std::string>>>;
+    static Shape shape(const Job& j) { return {j.need.cpus, j.need.gpus, j.need.memory_gb, j.spot, j.zone, j.types}; }
+
+    bool listed_on(std::size_t at, const JobEntry& e, std::uint32_t task) const {
+        // An attempt of this task that is still listed there would make the worker refuse the start.
+        const RoomMachine& m = room_.machines()[at];
+        return m.view != nullptr && m.view->task(e.job.id, task) != nullptr;
+    }
+
+    void place_tasks(const JobEntry& e, std::size_t most = SIZE_MAX) {
         std::optional<double> wait_s;
         for (const auto& o : *in_.objectives) {
             if (o.kind == "wait" && o.job_class == e.job.job_class) wait_s = o.within_s;
         }
+        // Kept for the whole pass: a job that had to begin is tried twice.
+        const auto [known, fresh] = zones_.try_emplace(&e);
+        if (fresh) known->second = ZoneUse::of(e, room_);
+        ZoneUse& zones = known->second;
+        const Shape form = shape(e.job);
+        // Room only shrinks within a pass: what had none for this shape has none now.
+        const bool hopeless = full_for_.contains(form);
+        std::vector<std::pair<Score, std::size_t>> order;
+        if (!hopeless) {
+            for (std::size_t i = 0; i < room_.machines().size(); ++i) {
+                const RoomMachine& m = room_.machines()[i];
+                if (m.usable && !m.draining && e.job.need.fits_in(m.free) && may_run_on(e.job, m)) {
+                    order.emplace_back(score(e.job, i), i);
+                }
+            }
+            std::sort(order.begin(), order.end());
+            if (order.empty()) full_for_.insert(form);
+        }
+        std::size_t next = 0;  // everything before it is full, or in a zone that the job may not use any more
+        const auto fits = [&](std::size_t at) {
+            const RoomMachine& m = room_.machines()[at];
+            return e.job.need.fits_in(m.free) && zones.allows(e.job, m.zone);
+        };
         for (const std::uint32_t task : unstarted_tasks(e, in_.most_starts)) {
-            if (out_.starts.size() >= in_.most_starts || !within_limit(e.job)) return;
+            if (most == 0 || full() || !within_limit(e.job)) return;
             const TaskRef ref{e.job.id, task};
+            if (started_.contains(ref)) continue;  // as the first task of a job that had to begin
             // Its own reservation is room for it.
             const auto held = out_.reservations.find(ref);
-            if (held != out_.reservations.end()) release_hold(held->second);
-            auto at = best(e, zones, task);
+            std::optional<std::size_t> at;
+            if (held != out_.reservations.end()) {
+                hold(held->second, -1.0);
+                const auto own = room_.at(held->second.machine);
+                if (own != Room::npos && room_.machines()[own].usable && fits(own) && !listed_on(own, e, task)) at = own;
+            }
+            while (next < order.size() && !fits(order[next].second)) ++next;
+            for (std::size_t k = next; k < order.size() && !at; ++k) {
+                if (fits(order[k].second) && !listed_on(order[k].second, e, task)) at = order[k].second;
+            }
             if (!at) {
                 if (held != out_.reservations.end()) {
-                    retake_hold(held->second);
+                    hold(held->second, 1.0);
                     continue;
                 }
                 if (preempt(e, zones, task)) continue;
@@ -180,6 +324,7 @@
             const std::uint64_t last = c == e.chunks.end() ? 0 : c->second.last_attempt;
             zones.add(room_.machines()[*at].zone);
             start(e, task, last + 1, *at);
+            --most;
         }
     }
 
@@ -254,18 +399,15 @@
         }
     }
 
-    void release_hold(const Reservation& r) { hold(r, -1.0); }
-    void retake_hold(const Reservation& r) { hold(r, 1.0); }
     void hold(const Reservation& r, double sign) {
-        for (std::size_t i = 0; i < room_.machines().size(); ++i) {
-            if (room_.machines()[i].id == r.machine) room_.take(i, r.need * sign);
-        }
+        const auto i = room_.at(r.machine);
+        if (i != Room::npos) room_.take(i, r.need * sign);
     }
 
     struct Victim {
         const JobEntry* entry;
         std::uint32_t task;
-        const Attempt* attempt;
+        Attempt attempt;
         std::tuple<int, int, double> cost;
     };
 
@@ -285,36 +427,56 @@
         return used_.at(victim.team).cpus > t.cpus + kSlack || used_.at(victim.team).gpus > t.gpus + kSlack;
     }
 
+    // What runs on each machine and might be stopped for somebody: the same for every job of a pass.
+    const std::vector<std::vector<Victim>>& stoppable() {
+        if (!victims_.empty()) return victims_;
+        victims_.resize(room_.machines().size());
+        for (std::size_t i = 0; i < victims_.size(); ++i) {
+            const RoomMachine& m = room_.machines()[i];
+            if (!m.usable || m.draining || m.view == nullptr) continue;
+            for (const auto& [ref, h] : in_.ledger->on_machine(m.id)) {
+                const Job& j = h.entry->job;
+                if (j.priority == Priority::production || j.kind == JobKind::gang || in_.stopping.contains(ref)) continue;
+                const auto v = view_attempt(*m.view, ref.job, ref.task, h.number, h.session);
+                if (v.fate != Fate::live || v.state == TaskState::saving) continue;
+                // Least lost first: tasks without their image, then those that save as they go.
+                const int state = v.state == TaskState::fetching ? 0 : j.checkpoint_s > 0 ? 1 : 2;
+                victims_[i].push_back({h.entry, ref.task, {h.number, m.id, h.session},
+                                       {static_cast<int>(j.priority), state, j.need.cpus}});
+            }
+            std::sort(victims_[i].begin(), victims_[i].end(),
+                      [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
+        }
+        return victims_;
+    }
+
     bool preempt(const JobEntry& e, const ZoneUse& zones, std::uint32_t task, bool with_image = false) {
         if (out_.stops.size() >= in_.most_stops) return false;
-        std::vector<Victim> chosen;
+        // A search that found nothing finds nothing for the next job of that shape and claim.
+        const std::tuple key{shape(e.job), claim(e.job), e.job.team, with_image ? e.job.image : std::string{}};
+        if (no_victims_.contains(key)) return false;
+        std::vector<const Victim*> chosen;
         std::size_t chosen_at = 0;
         std::tuple<bool, int, int, double> chosen_cost;
-        for (std::size_t i = 0; i < room_.machines().size(); ++i) {
+        const auto& all = stoppable();
+        for (std::size_t i = 0; i < all.size(); ++i) {
+            if (all[i].empty()) continue;
             const RoomMachine& m = room_.machines()[i];
-            if (!m.usable || m.draining || !may_run_on(e.job, m) || !zones.allows(e.job, m.zone) ||
-                m.view->task(e.job.id, task) != nullptr || (with_image && !m.has_image(e.job.image))) {
+            if (!may_run_on(e.job, m) || !zones.allows(e.job, m.zone) || (with_image && !m.has_image(e.job.image)) ||
+                m.view->task(e.job.id, task) != nullptr) {
                 continue;
             }
-            std::vector<Victim> victims;
-            for (const auto& ref : in_.ledger->on_machine(m.id)) {
-                const JobEntry* o = in_.ledger->find(ref.job);
-                const Attempt* a = in_.ledger->open_attempt(ref.job, ref.task);
-                if (stopping_.contains(ref) || in_.stopping.contains(ref) || !may_stop(e.job, o->job)) continue;
-                const auto v = view_attempt(*in_.picture, ref.job, ref.task, *a);
-                if (v.fate != Fate::live || v.state == TaskState::saving) continue;
-                // Least lost first: tasks without their image, then those that save as they go.
-                const int state = v.state == TaskState::fetching ? 0 : o->job.checkpoint_s > 0 ? 1 : 2;
-                victims.push_back({o, ref.task, a, {static_cast<int>(o->job.priority), state, o->job.need.cpus}});
-            }
-            std::sort(victims.begin(), victims.end(),
-                      [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
+            std::vector<const Victim*> victims;
             Amount free = m.free;
-            std::size_t n = 0;
-            while (n < victims.size() && !e.job.need.fits_in(free)) free += victims[n++].entry->job.need;
+            for (const Victim& v : all[i]) {
+                if (e.job.need.fits_in(free)) break;
+                if (stopping_.contains({v.entry->job.id, v.task}) || !may_stop(e.job, v.entry->job)) continue;
+                victims.push_back(&v);
+                free += v.entry->job.need;
+            }
+            const std::size_t n = victims.size();
             if (n == 0 || !e.job.need.fits_in(free)) continue;
-            victims.resize(n);
-            const auto& worst = victims.back().cost;
+            const auto& worst = victims.back()->cost;
             const std::tuple<bool, int, int, double> cost{!m.has_image(e.job.image), std::get<0>(worst),
                                                           static_cast<int>(n) + std::get<1>(worst), free.cpus};
             if (chosen.empty() || cost < chosen_cost) {
@@ -323,15 +485,17 @@
                 chosen_cost = cost;
             }
         }
+        if (chosen.empty() && !e.job.spread && !e.job.one_zone) no_victims_.insert(key);
         if (chosen.empty()) return false;
         // The victims' room is not free before they have gone: a start into it now would be refused.
         double slowest = 0;
-        for (const auto& v : chosen) {
+        for (const Victim* p : chosen) {
+            const Victim& v = *p;
             used_[v.entry->job.team] -= v.entry->job.need;
             stopping_.insert({v.entry->job.id, v.task});
             // A service's users wait now; anything else can wait until the victim has saved.
             const bool saves = e.job.kind != JobKind::service && v.entry->job.checkpoint_s > 0;
-            out_.stops.push_back({v.entry->job.id, v.task, *v.attempt, saves ? v.entry->job.save_s + 0.5 : 0});
+            out_.stops.push_back({v.entry->job.id, v.task, v.attempt, saves ? v.entry->job.save_s + 0.5 : 0});
             slowest = std::max(slowest, out_.stops.back().grace_s);
         }
         room_.take(chosen_at, e.job.need);
@@ -345,8 +509,16 @@
     Room& room_;
     PlacementResult out_;
     std::map<std::string, Amount> used_;
-    std::map<std::string, bool> guaranteed_;
+    std::unordered_set<std::string> guaranteed_;
+    bool guarantees_known_ = false;
     std::set<TaskRef> stopping_;
+    std::set<TaskRef> started_;
+    std::set<std::pair<const JobEntry*, std::uint32_t>> records_;
+    std::set<const JobEntry*> begun_;
+    std::unordered_map<const JobEntry*, ZoneUse> zones_;
+    std::set<Shape> full_for_;
+    std::set<std::tuple<Shape, std::pair<int, Priority>, std::string, std::string>> no_victims_;
+    std::vector<std::vector<Victim>> victims_;
     std::vector<std::pair<RoomMachine*, bool>> closed_;
 };
 
--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -29,6 +29,9 @@
     std::string machine;
     Amount need;
     Micros until{};
+    // Nothing was stopped for it: an overdue job waits for what is set free. Made anew in each pass, the oldest
+    // job first; holds that lasted let two jobs keep each other from one machine for ever.
+    bool waiting = false;
 };
 
 struct PlacementInput {
@@ -39,13 +42,19 @@
     std::set<std::string> own_teams;
     std::map<std::string, Micros> job_backoff;  // steady: until when the job's tasks are not tried
     std::map<TaskRef, Reservation> reservations;
+    std::vector<Reservation> foreign;  // other owners' holds
     std::set<TaskRef> stopping;  // told to stop for somebody's room, and not gone yet
     Micros now{};   // steady
     Micros wall{};  // time of day
     std::size_t most_starts = 48;
     std::size_t most_stops = 8;
+    std::size_t most_records = 48;  // store records that the starts may touch
 };
 
+// A job of which nothing has begun for so long goes ahead with its first task, and room is held for it:
+// else work that is urgent still, or small, passes it for ever.
+constexpr Micros kBeginWithin{90'000'000};
+
 struct PlacementResult {
     std::vector<Start> starts;
     std::vector<Stop> stops;
@@ -56,6 +65,9 @@
 // that a task started now can still meet.
 Micros due_time(const Job& j, const std::vector<Objective>& objectives, Micros wall);
 
+// Has waited too long for its first start.
+bool must_begin(const JobEntry& e, Micros wall);
+
 // Jobs of the given teams with tasks to start, most urgent first.
 std::vector<const JobEntry*> queue_order(const Ledger& l, const std::set<std::string>& teams,
                                          const std::vector<Objective>& objectives, Micros wall);
--- a/src/core/room.cpp
+++ b/src/core/room.cpp
@@ -1,5 +1,7 @@
 #include "core/room.hpp"
 
+#include <algorithm>
+
 namespace hatchwind::core {
 
 Room Room::build(const Picture& p, const Ledger& l, const Catalog& c, const Availability& a) {
@@ -16,30 +18,48 @@
         m.spot = view.last.spot;
         m.session = view.last.session;
         m.free = type->second.size;
-        m.draining = a.draining.contains(id);
-        m.candidate = a.candidates.contains(id);
-        const auto ban = a.banned_until.find(id);
-        m.usable = !m.draining && !view.notice_until && a.now - view.changed < a.silent_after &&
-                   (ban == a.banned_until.end() || ban->second <= a.now);
+        m.usable = view.confirmed && !view.notice_until && a.now - view.changed < a.silent_after;
         // Recorded attempts use room unless the worker says that they have ended.
-        for (const auto& ref : l.on_machine(id)) {
-            const JobEntry* e = l.find(ref.job);
-            const Attempt* at = l.open_attempt(ref.job, ref.task);
-            const auto v = view_attempt(p, ref.job, ref.task, *at);
-            if (v.fate != Fate::exited && v.fate != Fate::gone) m.free -= e->job.need;
+        for (const auto& [ref, held] : l.on_machine(id)) {
+            const auto v = view_attempt(view, ref.job, ref.task, held.number, held.session);
+            if (v.fate != Fate::exited && v.fate != Fate::gone) m.free -= held.entry->job.need;
         }
-        room.add(std::move(m));
+        room.machines_.push_back(std::move(m));
+    }
+    room.sorted_ = room.machines_.size();
+    // These sets are small beside the fleet.
+    const auto mark = [&](const std::string& id, auto&& change) {
+        if (const auto at = room.at(id); at != npos) change(room.machines_[at]);
+    };
+    for (const auto& id : a.draining) {
+        mark(id, [](RoomMachine& m) {
+            m.draining = true;
+            m.usable = false;
+        });
+    }
+    for (const auto& id : a.candidates) mark(id, [](RoomMachine& m) { m.candidate = true; });
+    for (const auto& [id, until] : a.banned_until) {
+        if (until > a.now) mark(id, [](RoomMachine& m) { m.usable = false; });
     }
     return room;
 }
 
+std::size_t Room::at(const std::string& id) const {
+    const auto end = machines_.begin() + static_cast<std::ptrdiff_t>(sorted_);
+    const auto it = std::lower_bound(machines_.begin(), end, id, [](const RoomMachine& m, const std::string& i) { return m.id < i; });
+    if (it != end && it->id == id) return static_cast<std::size_t>(it - machines_.begin());
+    for (std::size_t i = sorted_; i < machines_.size(); ++i) {
+        if (machines_[i].id == id) return i;
+    }
+    return npos;
+}
+
 const RoomMachine* Room::find(const std::string& id) const {
-    const auto it = by_id_.find(id);
-    return it == by_id_.end() ? nullptr : &machines_[it->second];
+    const auto i = at(id);
+    return i == npos ? nullptr : &machines_[i];
 }
 
 std::size_t Room::add(RoomMachine m) {
-    by_id_[m.id] = machines_.size();
     machines_.push_back(std::move(m));
     return machines_.size() - 1;
 }
@@ -60,6 +80,8 @@
 
 ZoneUse ZoneUse::of(const JobEntry& e, const Room& room) {
     ZoneUse z;
+    // Without a rule on zones nobody asks.
+    if (!e.job.spread && !e.job.one_zone) return z;
     for (const auto& [i, c] : e.chunks) {
         for (const auto& [task, a] : c.open) {
             const RoomMachine* m = room.find(a.machine);
@@ -75,6 +97,7 @@
 }
 
 bool ZoneUse::allows(const Job& j, const std::string& zone) const {
+    if (!j.spread && !j.one_zone) return true;
     const auto it = by_zone.find(zone);
     const std::uint32_t here = it == by_zone.end() ? 0 : it->second;
     if (j.one_zone && total != here) return false;
--- a/src/core/room.hpp
+++ b/src/core/room.hpp
@@ -4,7 +4,6 @@
 #include <functional>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 #include "core/ledger.hpp"
@@ -46,6 +45,8 @@
 
     std::vector<RoomMachine>& machines() { return machines_; }
     const std::vector<RoomMachine>& machines() const { return machines_; }
+    static constexpr std::size_t npos = static_cast<std::size_t>(-1);
+    std::size_t at(const std::string& id) const;  // npos when it is not there
     const RoomMachine* find(const std::string& id) const;
     std::size_t add(RoomMachine m);
 
@@ -57,7 +58,7 @@
 
   private:
     std::vector<RoomMachine> machines_;
-    std::unordered_map<std::string, std::size_t> by_id_;
+    std::size_t sorted_ = 0;  // so many at the front are in order of their names
     std::vector<std::pair<std::size_t, Amount>> trail_;
 };
 
--- a/src/io/http.cpp
+++ b/src/io/http.cpp
@@ -214,11 +214,12 @@
                                  Micros deadline, std::size_t most_bytes) {
     HttpReply reply;
     std::optional<Socket> socket;
-    auto& pool = idle_[to];
-    while (!pool.empty() && !socket) {
-        socket.emplace(std::move(pool.back()));
-        pool.pop_back();
-        if (socket->is_stale()) socket.reset();
+    if (const auto pool = idle_.find(to); pool != idle_.end()) {
+        while (!pool->second.empty() && !socket) {
+            socket.emplace(std::move(pool->second.back()));
+            pool->second.pop_back();
+            if (socket->is_stale()) socket.reset();
+        }
     }
     if (!socket) {
         auto fresh = co_await connect(loop_, to, deadline);
--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -14,6 +14,7 @@
 
 namespace {
 constexpr Micros kCall{3'000'000};
+constexpr std::size_t kMarks = 400;  // that surely fit into one value of the store
 Micros seconds(double s) { return Micros{static_cast<std::int64_t>(s * 1e6)}; }
 }  // namespace
 
@@ -126,7 +127,8 @@
             list_fresh_ = true;
             n_.fleet_work.notify_all();
         }
-        co_await n_.loop.sleep(seconds(2));
+        // A long list takes several calls, and its reading a while.
+        co_await n_.loop.sleep(seconds(1.5) + seconds(0.5 * static_cast<double>(1 + listed.size() / 500)));
     }
 }
 
@@ -156,7 +158,11 @@
             if (n_.picture.find(id) != nullptr || k.rental.state == core::RentalState::failed || overdue(k, now)) continue;
             in.booting.push_back(k.rental);
         }
-        const auto wanted = core::plan_rentals(n_.tunables.fleet, in,
+        core::FleetSettings settings = n_.tunables.fleet;
+        // As many as can be asked for in some seconds.
+        settings.most_per_round = std::max<std::size_t>(
+            settings.most_per_round, static_cast<std::size_t>(static_cast<double>(n_.picture.machines().size()) * n_.tunables.rent_share));
+        const auto wanted = core::plan_rentals(settings, in,
                                                core::Room::build(n_.picture, n_.ledger, *n_.catalog, n_.availability()));
         for (const auto& [pool, number] : wanted) {
             if (!n_.leads()) break;
@@ -209,18 +215,17 @@
     co_return true;
 }
 
-Task<bool> Leader::mark(std::string machine, bool draining) {
-    const auto it = n_.draining.find(machine);
+Task<bool> Leader::mark(std::set<std::string> machines) {
+    // One record for all marks: with one for each machine, giving back hundreds would use up the store's writes.
     wire::Transaction t;
     t.conditions.emplace_back(keys::kEpoch, n_.epoch.stamp);
-    t.conditions.emplace_back(keys::machine(machine), it == n_.draining.end() ? 0 : it->second);
-    wire::Write w{keys::machine(machine), std::nullopt, 0};
-    if (draining) w.value = wire::Json{{"draining", true}};
-    t.writes.push_back(w);
+    t.conditions.emplace_back(keys::kDraining, n_.draining_stamp);
+    const wire::Json record = wire::names_record(machines);
+    t.writes.push_back({keys::kDraining, record, 0});
     auto task = n_.state.commit(std::move(t), steady_now() + seconds(2));
     const CommitResult r = co_await std::move(task);
     if (r.outcome != Commit::done) co_return false;
-    replica_.apply({keys::machine(machine), w.value, r.revision});
+    replica_.apply({keys::kDraining, record, r.revision});
     co_return true;
 }
 
@@ -235,7 +240,7 @@
         in.ledger = &n_.ledger;
         in.picture = &n_.picture;
         in.now = steady_now();
-        for (const auto& [id, stamp] : n_.draining) {
+        for (const auto& id : n_.draining) {
             if (n_.picture.find(id) != nullptr) in.draining.insert(id);
         }
         // Stops that have no replacement yet: attempts that were open in the last round. A new leader does
@@ -255,18 +260,26 @@
         was_open_ = std::move(open);
         const Micros end = in.now + n_.tunables.drain_bound;
         in.out_of_time = [end] { return steady_now() >= end; };
-        const auto plan = core::plan_drains(n_.tunables.drain, in,
+        // Caps grow with the fleet: a handful at a time would take hours to give back what one burst needed.
+        core::DrainSettings settings = n_.tunables.drain;
+        const auto fleet = static_cast<double>(n_.picture.machines().size());
+        settings.total_cap = std::min(kMarks, std::max(settings.total_cap, static_cast<std::size_t>(fleet * n_.tunables.drain_share)));
+        settings.busy_cap = std::max(settings.busy_cap, static_cast<std::size_t>(fleet * n_.tunables.drain_busy_share));
+        const auto plan = core::plan_drains(settings, in,
                                             core::Room::build(n_.picture, n_.ledger, *n_.catalog, n_.availability()), drain_);
         n_.candidates.clear();
         for (const auto& [id, since] : drain_.candidate_since) n_.candidates.insert(id);
         std::vector<std::string> chosen = plan.empty;
         chosen.insert(chosen.end(), plan.busy.begin(), plan.busy.end());
+        if (chosen.empty()) continue;
+        std::set<std::string> marks = n_.draining;
         for (const auto& id : chosen) {
             spdlog::info("event=drain machine={} tasks={}", id, n_.ledger.on_machine(id).size());
-            auto task = mark(id, true);
-            co_await std::move(task);
+            marks.insert(id);
         }
-        if (!chosen.empty()) n_.work.notify_all();
+        auto task = mark(std::move(marks));
+        co_await std::move(task);
+        n_.work.notify_all();
     }
 }
 
@@ -280,7 +293,7 @@
         }
         const Micros now = steady_now();
         std::vector<std::string> go;
-        for (const auto& [id, stamp] : n_.draining) {
+        for (const auto& id : n_.draining) {
             if (n_.picture.released(id) || n_.picture.find(id) == nullptr) continue;
             if (!n_.ledger.on_machine(id).empty()) {
                 emptied.erase(id);
@@ -302,7 +315,11 @@
         // Not before this reign has had the time to hear them all.
         std::vector<core::SilentMachine> machines;
         for (const auto& [id, m] : n_.picture.machines()) {
-            machines.push_back({id, std::min(now - m.changed, now - reign_began_), !n_.ledger.on_machine(id).empty()});
+            Micros quiet = now - m.changed;
+            // One that only sends is as good as silent: nothing can be started or stopped on it.
+            const auto s = n_.suspects.find(id);
+            if (n_.fit && s != n_.suspects.end() && s->second.since.count() != 0) quiet = std::max(quiet, now - s->second.since);
+            machines.push_back({id, std::min(quiet, now - reign_began_), !n_.ledger.on_machine(id).empty()});
         }
         std::erase_if(silent_released_, [&](Micros t) { return now - t > seconds(60); });
         const auto silent = core::releasable(machines, n_.tunables.silent_release, silent_released_.size());
@@ -329,19 +346,18 @@
             co_await std::move(task);
         }
         // Marks of machines that are gone.
-        std::vector<std::string> unmark;
-        for (const auto& [id, stamp] : n_.draining) {
-            if (n_.picture.released(id) || (n_.picture.find(id) == nullptr && list_fresh_ && !known_.contains(id) &&
-                                            now - reign_began_ > seconds(n_.settings.list_lag_s * 2 + 10))) {
-                unmark.push_back(id);
-            }
-        }
-        for (const auto& id : unmark) {
-            if (!n_.leads() || !n_.state.reachable(steady_now())) break;
-            auto task = mark(id, false);
-            co_await std::move(task);
-            emptied.erase(id);
-        }
+        std::set<std::string> marks = n_.draining;
+        std::erase_if(marks, [&](const std::string& id) {
+            return n_.picture.released(id) || (n_.picture.find(id) == nullptr && list_fresh_ && !known_.contains(id) &&
+                                               now - reign_began_ > seconds(n_.settings.list_lag_s * 2 + 10));
+        });
+        std::erase_if(emptied, [&](const auto& e) { return !marks.contains(e.first); });
+        // They do no harm, so several go in one write.
+        const bool worth = n_.draining.size() - marks.size() >= 20 || now - unmarked_ > seconds(10);
+        if (marks.size() == n_.draining.size() || !worth || !n_.leads() || !n_.state.reachable(steady_now())) continue;
+        unmarked_ = now;
+        auto task = mark(std::move(marks));
+        co_await std::move(task);
     }
 }
 
--- a/src/service/leader.hpp
+++ b/src/service/leader.hpp
@@ -30,7 +30,7 @@
     };
     io::Task<io::HttpReply> cloud(std::string method, std::string target, std::string body);
     io::Task<bool> release(std::vector<std::string> machines);
-    io::Task<bool> mark(std::string machine, bool draining);
+    io::Task<bool> mark(std::set<std::string> machines);
     bool overdue(const Known& k, io::Micros now) const;
     void new_reign();
 
@@ -47,6 +47,7 @@
     std::uint64_t reign_ = 0;
     std::uint64_t malformed_ = 0;
     io::Micros reign_began_{0};
+    io::Micros unmarked_{0};  // steady: when marks of machines that are gone were last taken away
     bool list_fresh_ = false;
 };
 
--- a/src/service/membership.cpp
+++ b/src/service/membership.cpp
@@ -21,7 +21,17 @@
             }
             // The key tells everyone that a new life of this node has begun: the old one's commits, which
             // are conditional on the old key or epoch, fail from here on.
+            // Conditional on the key as it stands: a late copy of this write, from an earlier life or from an
+            // attempt that got no answer, would hand the key to a grant that nobody renews, and the key would
+            // vanish while this life still acts.
+            auto look = n_.state.get(keys::node(n_.self.label), steady_now() + Micros{1'500'000});
+            const GetResult key = co_await std::move(look);
+            if (!key.ok) {
+                co_await n_.loop.sleep(Micros{200'000});
+                continue;
+            }
             wire::Transaction t;
+            t.conditions.emplace_back(keys::node(n_.self.label), key.stamp);
             t.writes.push_back({keys::node(n_.self.label), wire::Json{{"grant", *grant}}, *grant});
             auto put = n_.state.commit(std::move(t), steady_now() + Micros{1'500'000});
             const CommitResult r = co_await std::move(put);
@@ -31,9 +41,18 @@
             }
             n_.self.grant = *grant;
             n_.mandate.renewed(sent, life);
+            key_stamp_ = r.revision;
             spdlog::info("event=joined grant={}", *grant);
         }
         co_await n_.loop.sleep(n_.tunables.renew_every);
+        const auto own = n_.nodes.find(n_.self.label);
+        if (n_.synced && n_.revision >= key_stamp_ && (own == n_.nodes.end() || own->second.grant != n_.self.grant)) {
+            // Whatever took the key: without it the others may remove this node.
+            spdlog::warn("event=key_lost grant={}", n_.self.grant);
+            n_.mandate.lost();
+            n_.self.grant = 0;
+            continue;
+        }
         const Micros sent = steady_now();
         auto task = n_.state.renew(n_.self.grant, sent + n_.tunables.renew_every + Micros{300'000});
         const auto outcome = co_await std::move(task);
--- a/src/service/membership.hpp
+++ b/src/service/membership.hpp
@@ -28,7 +28,9 @@
     // on it may still be carried out, so no promise may be given.
     std::optional<core::Stamp> unresolved_;
     bool writing_ = false;
-    std::uint64_t ask_number_ = 0;
+    core::Stamp key_stamp_ = 0;  // of this life's own key
+    // Begins at the time of day: a late promise to an earlier life of this node must not count for this one.
+    std::uint64_t ask_number_ = static_cast<std::uint64_t>(io::wall_now().count());
     std::map<std::uint64_t, io::Micros> asked_;
     io::Micros vacant_since_{0};
 };
--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -11,7 +11,8 @@
 using io::Task;
 
 namespace {
-constexpr std::size_t kQueueBytes = 256 * 1024;
+// Of each node's memory, this part may wait for one peer.
+constexpr std::size_t kQueueParts = 64;
 constexpr std::size_t kInbound = 16;
 constexpr Micros kBeat{500'000};
 constexpr Micros kSilence{4'000'000};
@@ -20,7 +21,7 @@
 
 Mesh::Mesh(Node& n, Membership& m) : n_(n), membership_(m), listener_(n.loop, n.settings.mesh) {
     for (const auto& p : n.settings.peers) links_[p.label] = std::make_unique<Link>(n.loop, p);
-    n_.forward = [this](const core::WorkerReport& r, Micros heard) { forward(r, heard); };
+    n_.forward = [this](const core::MachineView& v, Micros heard, bool whole) { forward(v, heard, whole); };
     n_.announce_hold = [this](const wire::MeshHold& h) {
         for (auto& [label, link] : links_) push(*link, h);
     };
@@ -35,11 +36,16 @@
     for (auto& [label, link] : links_) scope.spawn(talk(*link));
 }
 
-void Mesh::push(Link& link, const wire::MeshMessage& m) {
+void Mesh::push(Link& link, const wire::MeshMessage& m) { push(link, wire::encode_frame(m)); }
+
+void Mesh::push(Link& link, const std::string& frame) {
     if (!link.connected) return;
-    // A peer that does not read: what it misses, the full picture of the next connection makes good.
-    if (link.out.size() > kQueueBytes) return;
-    link.out += wire::encode_frame(m);
+    if (link.out.size() > static_cast<std::size_t>(n_.settings.memory_mb * 1024 * 1024) / kQueueParts) {
+        // A peer that does not read: what it misses, the full picture makes good as soon as it has read the rest.
+        link.missed = true;
+        return;
+    }
+    link.out += frame;
     link.filled.notify_all();
 }
 
@@ -47,15 +53,32 @@
     wire::MeshReport m;
     m.report = v.last;
     m.heard_us = v.heard.count();
+    m.confirmed = v.confirmed;
     for (const auto& [image, i] : v.images) m.images.emplace_back(image, i.gb);
     return m;
 }
 
-void Mesh::forward(const core::WorkerReport& r, Micros heard) {
-    wire::MeshReport m;
-    m.report = r;
-    m.heard_us = heard.count();
-    for (auto& [label, link] : links_) push(*link, m);
+void Mesh::forward(const core::MachineView& v, Micros heard, bool whole) {
+    std::string frame;
+    if (whole) {
+        wire::MeshReport m;
+        m.report = v.last;
+        m.heard_us = heard.count();
+        m.confirmed = v.confirmed;
+        frame = wire::encode_frame(m);
+    } else {
+        frame = wire::encode_frame(wire::MeshAlive{v.last.machine, v.last.session, v.last.tick, v.last.token,
+                                                   v.content_tick, heard.count()});
+    }
+    for (auto& [label, link] : links_) push(*link, frame);
+}
+
+void Mesh::fill(Link& link) {
+    // What is known of images goes along, and the next beat has the whole tables.
+    link.missed = false;
+    link.answered_until = Micros{0};
+    link.released_told = 0;
+    for (const auto& [id, view] : n_.picture.machines()) link.out += wire::encode_frame(describe(view));
 }
 
 Task<void> Mesh::talk(Link& link) {
@@ -69,9 +92,9 @@
         link.out = wire::encode_frame(wire::MeshHello{wire::kMeshVersion, n_.self.label});
         link.connected = true;
         link.confirmed = steady_now();
-        // Whoever has just started gets the whole picture, with what is known of images.
-        for (const auto& [id, view] : n_.picture.machines()) link.out += wire::encode_frame(describe(view));
+        fill(link);
         while (true) {
+            if (link.out.empty() && link.missed) fill(link);
             if (link.out.empty()) co_await link.filled.wait();
             const std::string batch = std::exchange(link.out, {});
             const Micros deadline = steady_now() + kSilence;
@@ -147,10 +170,19 @@
         for (const auto& h : beat->hears) {
             if (h == n_.self.label) links_.at(from)->confirmed = steady_now();
         }
+        // What does not answer somebody else may not answer anyone: this node asks for itself.
+        for (const auto& machine : beat->unanswered) {
+            if (n_.picture.find(machine) != nullptr) n_.suspects.try_emplace(machine);
+        }
         p.beat = std::move(*beat);
+        p.beat.answered.clear();
+        p.beat.released.clear();
         p.received = steady_now();
+        share_writes();
     } else if (auto* report = std::get_if<wire::MeshReport>(&m)) {
-        n_.take_forward(*report);
+        n_.take_forward(std::move(*report));
+    } else if (const auto* alive = std::get_if<wire::MeshAlive>(&m)) {
+        n_.take_alive(*alive);
     } else if (auto* ask = std::get_if<wire::MeshAsk>(&m)) {
         wire::MeshPromise answer{ask->number, membership_.may_promise()};
         if (answer.given) {
@@ -162,7 +194,7 @@
     } else if (auto* hold = std::get_if<wire::MeshHold>(&m)) {
         if (n_.foreign_holds.size() > 512) return;
         const Micros until = steady_now() + std::min(Micros{static_cast<std::int64_t>(hold->for_us)}, Micros{10'000'000});
-        n_.foreign_holds[{hold->job, hold->task}] = {hold->machine, {hold->cpus, hold->gpus, hold->memory_gb}, until};
+        n_.foreign_holds[{hold->job, hold->task}] = {hold->machine, {hold->cpus, hold->gpus, hold->memory_gb}, until, hold->waiting};
     }
 }
 
@@ -179,11 +211,43 @@
         for (const auto& [label, link] : links_) {
             if (n_.peer_fresh(label, steady_now())) b.hears.push_back(label);
         }
-        for (const auto& [machine, at] : n_.answered_here) b.answered.emplace_back(machine, at.count());
-        b.released.assign(n_.released_log.begin(), n_.released_log.end());
+        b.demand = static_cast<std::uint64_t>(n_.state.demand() * 10);
+        b.workers = n_.workers_here();
+        for (const auto& [machine, suspect] : n_.suspects) {
+            if (suspect.since.count() != 0 && steady_now() - suspect.since > Micros{3'000'000} && n_.fit) {
+                b.unanswered.push_back(machine);
+            }
+        }
         if (n_.leads()) b.candidates.assign(n_.candidates.begin(), n_.candidates.end());
-        for (auto& [label, link] : links_) push(*link, b);
+        share_writes();
+        for (auto& [label, link] : links_) {
+            if (!link->connected) continue;
+            b.answered.clear();
+            b.released.clear();
+            for (const auto& [machine, at] : n_.answered_here) {
+                if (at >= link->answered_until) b.answered.emplace_back(machine, at.count());
+            }
+            const auto news = std::min<std::uint64_t>(n_.released_count - link->released_told, n_.released_log.size());
+            b.released.assign(n_.released_log.end() - static_cast<std::ptrdiff_t>(news), n_.released_log.end());
+            push(*link, b);
+            // If the link has no room this beat is lost, and fill() starts the tables anew.
+            link->answered_until = Micros{b.wall_us};
+            link->released_told = n_.released_count;
+        }
+    }
+}
+
+void Mesh::share_writes() {
+    // The store's write limit goes to those that have something to write: with fewer teams than nodes, equal
+    // parts leave most of it unused. Some stays with everyone, for acceptances.
+    const double nodes = static_cast<double>(std::max<std::size_t>(n_.epoch.members.size(), 1));
+    const double mine = n_.state.demand() + 0.1;
+    double all = mine;
+    for (const auto& m : n_.epoch.members) {
+        if (m.label == n_.self.label || !n_.peer_fresh(m.label, steady_now())) continue;
+        all += static_cast<double>(n_.peers[m.label].beat.demand) / 10 + 0.1;
     }
+    n_.state.share(n_.epoch.members.size(), 0.2 / nodes + 0.8 * mine / all);
 }
 
 }  // namespace hatchwind::service
--- a/src/service/mesh.hpp
+++ b/src/service/mesh.hpp
@@ -17,7 +17,7 @@
     io::Task<void> serve();
     io::Task<void> beat();
     void start(io::Scope& scope);
-    void forward(const core::WorkerReport& r, io::Micros heard);
+    void forward(const core::MachineView& v, io::Micros heard, bool whole);
 
   private:
     struct Link {
@@ -26,12 +26,18 @@
         std::string out;  // frames that wait; bounded
         io::Signal filled;
         bool connected = false;
+        bool missed = false;  // something found no room in the queue
+        io::Micros answered_until{0};     // the table told on this connection goes so far
+        std::uint64_t released_told = 0;  // likewise the log of releases
         io::Micros confirmed{0};  // steady: when the peer last said that it hears us, or the link was made
     };
     io::Task<void> talk(Link& link);
     io::Task<void> listen(io::Socket socket);
     void handle(const std::string& from, wire::MeshMessage& m);
     void push(Link& link, const wire::MeshMessage& m);
+    void push(Link& link, const std::string& frame);
+    void fill(Link& link);
+    void share_writes();
     wire::MeshReport describe(const core::MachineView& v) const;
 
     Node& n_;
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace hatchwind::service {
 
 using io::Micros;
@@ -12,7 +14,7 @@
     for (const auto& p : peers) out.push_back(p.label);
     return out;
 }
-constexpr std::size_t kReleasedKept = 200;
+constexpr std::size_t kReleasedKept = 4096;
 }  // namespace
 
 Node::Node(io::Loop& l, Settings s, Tunables t)
@@ -47,74 +49,117 @@
     return it != peers.end() && it->second.received.count() != 0 && now - it->second.received < Micros{1'800'000};
 }
 
-bool Node::absorb(const core::WorkerReport& r, Micros heard) {
+Micros Node::doubt_after() const { return Micros{static_cast<std::int64_t>((settings.report_s * 2 + 6) * 1e6)}; }
+
+std::size_t Node::workers_here() const {
+    const Micros since = io::wall_now() - Micros{static_cast<std::int64_t>(settings.report_s * 1.5e6)};
+    return static_cast<std::size_t>(
+        std::count_if(answered_here.begin(), answered_here.end(), [&](const auto& a) { return a.second >= since; }));
+}
+
+bool Node::absorb(core::WorkerReport r, Micros heard, bool answer, bool confirmed) {
     const core::MachineView* before = picture.find(r.machine);
     const bool known = before != nullptr;
-    const bool changed = !known || before->last.session != r.session || before->last.tasks != r.tasks ||
-                         before->last.notice_s.has_value() != r.notice_s.has_value();
+    const auto old_content = known ? std::pair{before->last.session, before->content_tick} : std::pair<std::uint64_t, std::uint64_t>{};
     const auto old_token = known ? before->last.token : 0;
+    const bool was_confirmed = known && before->confirmed;
     const Micros now = io::steady_now();
-    if (!picture.apply(r, now, heard)) {
-        if (heard.count() != 0) picture.heard(r.machine, heard);
+    const std::string machine = r.machine;
+    // A report that bears the token of an epoch that has only just begun was made after it began.
+    const bool recent = r.token != 0 && r.token == epoch.number && now - epoch_seen < doubt_after();
+    if (!picture.apply(std::move(r), now, heard, answer || recent || confirmed, doubt_after())) {
+        if (heard.count() != 0) picture.heard(machine, heard);
         return false;
     }
+    const core::MachineView& m = *picture.find(machine);
+    const bool changed = !known || old_content != std::pair{m.last.session, m.content_tick};
     if (changed && catalog) {
-        const auto type = catalog->find(r.type);
-        for (const auto& t : r.tasks) {
+        const auto type = catalog->find(m.last.type);
+        for (const auto& t : m.last.tasks) {
             const bool has = t.state != core::TaskState::fetching &&
                              (t.state != core::TaskState::exited || t.cause == core::ExitCause::done);
             const core::JobEntry* e = has ? ledger.find(t.job) : nullptr;
             if (e != nullptr && type != catalog->end()) {
-                picture.note_image(r.machine, e->job.image, e->job.image_gb, type->second.cache_gb, now);
+                picture.note_image(machine, e->job.image, e->job.image_gb, type->second.cache_gb, now);
             }
         }
     }
-    if (changed || old_token != r.token) work.notify_all();
+    if (!m.confirmed) suspects.try_emplace(machine);
+    const bool news = changed || old_token != m.last.token || m.confirmed != was_confirmed;
+    if (news) work.notify_all();
     if (!known) fleet_work.notify_all();
-    return changed || old_token != r.token;
+    return news;
 }
 
-void Node::take_report(const core::WorkerReport& r, bool answered) {
+void Node::take_report(core::WorkerReport r, bool answered) {
     const Micros wall = io::wall_now();
     last_worker_contact = io::steady_now();
+    const std::string machine = r.machine;
+    const std::uint64_t tick = r.tick;
     if (answered) {
-        answered_here[r.machine] = wall;
-        auto& any = answered_any[r.machine];
+        // Even the answer to a late copy may have renewed a lease, as far as this node can tell: it bounds the
+        // lease's end, and proves nothing about the machine.
+        answered_here[machine] = wall;
+        auto& any = answered_any[machine];
         any = std::max(any, wall);
+    } else {
+        suspects.erase(machine);
     }
-    const core::MachineView* m = picture.find(r.machine);
-    const bool stale = m != nullptr && io::steady_now() - m->changed > Micros{2'000'000};
-    const bool news = absorb(r, answered ? wall : Micros{0});
-    // Unchanged reports are passed on too, though seldom: the others use a machine only while it has news.
-    if ((news || stale || (m != nullptr && r.tick % 2 == 0)) && forward) forward(r, answered ? wall : Micros{0});
+    const bool news = absorb(std::move(r), answered ? wall : Micros{0}, !answered, false);
+    if (!answered) picture.confirm(machine);
+    const core::MachineView* m = picture.find(machine);
+    // A copy of an old report is no sign of life, and none of the others' business.
+    if (m == nullptr || m->last.tick != tick || !forward) return;
+    // Unchanged reports are passed on in a short form: the others use a machine only while it has news.
+    forward(*m, answered ? wall : Micros{0}, news);
 }
 
-void Node::take_forward(const wire::MeshReport& m) {
+void Node::take_forward(wire::MeshReport m) {
     const Micros heard{m.heard_us};
+    const std::string machine = m.report.machine;
+    if (picture.released(machine)) return;
     if (heard.count() != 0) {
-        auto& any = answered_any[m.report.machine];
+        auto& any = answered_any[machine];
         any = std::max(any, heard);
     }
-    absorb(m.report, heard);
-    if (catalog) {
-        const auto type = catalog->find(m.report.type);
-        const auto* view = picture.find(m.report.machine);
-        if (view != nullptr && type != catalog->end()) {
-            for (const auto& [image, gb] : m.images) {
-                if (!view->images.contains(image)) {
-                    picture.note_image(m.report.machine, image, gb, type->second.cache_gb, io::steady_now());
-                }
-            }
-        }
+    absorb(std::move(m.report), heard, false, m.confirmed);
+    const auto* view = catalog && !m.images.empty() ? picture.find(machine) : nullptr;
+    const auto type = view == nullptr ? core::Catalog::const_iterator{} : catalog->find(view->last.type);
+    if (view == nullptr || type == catalog->end()) return;
+    for (const auto& [image, gb] : m.images) {
+        if (!view->images.contains(image)) picture.note_image(machine, image, gb, type->second.cache_gb, io::steady_now());
+    }
+}
+
+void Node::take_alive(const wire::MeshAlive& m) {
+    const Micros heard{m.heard_us};
+    if (picture.released(m.machine)) return;
+    if (heard.count() != 0) {
+        auto& any = answered_any[m.machine];
+        any = std::max(any, heard);
     }
+    picture.alive(m.machine, m.session, m.tick, m.token, m.content_tick, io::steady_now(), heard);
+}
+
+void Node::note_unanswered(const std::string& machine) {
+    const Micros now = io::steady_now();
+    Suspect& s = suspects[machine];
+    if (s.since.count() == 0) s.since = now;
+    s.next = now + s.pause;
 }
 
 void Node::note_released(const std::string& machine) {
     if (picture.released(machine)) return;
+    const core::MachineView* view = picture.find(machine);
+    if (view != nullptr) {
+        if (const auto a = io::parse_address(view->last.address)) workers_http.forget(*a);
+    }
     picture.release(machine);
     answered_here.erase(machine);
     answered_any.erase(machine);
+    suspects.erase(machine);
     released_log.push_back(machine);
+    ++released_count;
     if (released_log.size() > kReleasedKept) released_log.pop_front();
     work.notify_all();
     fleet_work.notify_all();
@@ -141,8 +186,12 @@
     core::Availability a;
     a.now = io::steady_now();
     a.silent_after = Micros{static_cast<std::int64_t>((settings.report_s * 2.5 + 1.5) * 1e6)};
-    for (const auto& [m, stamp] : draining) a.draining.insert(m);
+    a.draining = draining;
     a.candidates = candidates;
+    // One that reports but does not answer gets nothing new: its lease runs out on its own side.
+    for (const auto& [machine, s] : suspects) {
+        if (s.since.count() != 0 && a.now - s.since > Micros{2'000'000}) a.banned_until[machine] = Micros::max();
+    }
     return a;
 }
 
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -39,7 +39,8 @@
     core::Ledger ledger;
     core::Epoch epoch;
     std::map<std::string, core::NodeRecord> nodes;
-    std::map<std::string, core::Stamp> draining;  // machine -> stamp of its mark
+    std::set<std::string> draining;               // machines marked in the store, all in one record
+    core::Stamp draining_stamp = 0;               // of that record
     core::Stamp revision = 0;
     bool synced = false;
     io::Signal advanced;  // the copy has moved
@@ -57,13 +58,22 @@
     // Room that other owners are clearing for their tasks.
     std::map<core::TaskRef, core::Reservation> foreign_holds;
     std::deque<std::string> released_log;   // newest last, bounded
+    std::uint64_t released_count = 0;       // ever put into the log
+    // Machines that did not answer our last request, though somebody hears them; see Workers::keep_reach().
+    struct Suspect {
+        io::Micros since{0};  // steady; 0: nothing is known against it, it was only never asked
+        io::Micros next{0};   // steady: when to ask again
+        io::Micros pause{500'000};
+    };
+    std::map<std::string, Suspect> suspects;
+    io::Micros epoch_seen{0};  // steady: when the present epoch came to this node
     io::Micros synced_wall{0};
     io::Micros last_worker_contact{0};  // steady; a report or an answered order
     bool fit = true;
 
     io::Signal work;        // something changed that placing may care about
     io::Signal fleet_work;  // likewise for the leader's renting
-    std::function<void(const core::WorkerReport&, io::Micros heard)> forward;  // to the other nodes
+    std::function<void(const core::MachineView&, io::Micros heard, bool whole)> forward;  // to the other nodes
     std::function<void(const wire::MeshHold&)> announce_hold;                  // likewise
 
     // May this life answer workers, send orders and place?
@@ -72,16 +82,23 @@
     bool owns(const std::string& team) const;
     bool peer_fresh(const std::string& label, io::Micros now) const;
 
-    // Takes a report that reached this node itself.
-    void take_report(const core::WorkerReport& r, bool answered);
-    void take_forward(const wire::MeshReport& m);
+    // Takes a report that reached this node itself. `answered`: it was sent to us and gets a 200; otherwise it
+    // is the answer to a request of ours, and so no late copy.
+    void take_report(core::WorkerReport r, bool answered);
+    void take_forward(wire::MeshReport m);
+    void take_alive(const wire::MeshAlive& m);
+    // A request to the machine stayed without an answer.
+    void note_unanswered(const std::string& machine);
+    // After so much silence a report may be a late copy of one sent before it.
+    io::Micros doubt_after() const;
+    std::size_t workers_here() const;  // that this node answered of late
     void note_released(const std::string& machine);
     // Certain that the machine's lease has ended, wherever it reported.
     bool lease_over(const std::string& machine, io::Micros wall) const;
     core::Availability availability() const;
 
   private:
-    bool absorb(const core::WorkerReport& r, io::Micros heard);
+    bool absorb(core::WorkerReport r, io::Micros heard, bool answer, bool confirmed);
 };
 
 }  // namespace hatchwind::service
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -14,23 +14,26 @@
 namespace {
 constexpr Micros kResendStart{1'200'000};
 constexpr Micros kResendStop{1'000'000};
+constexpr Micros kEndsWait{4'000'000};
 constexpr std::size_t kTxnBytes = 40 * 1024;  // of CBOR; the limit counts the longer JSON form
 }  // namespace
 
-core::Chunk& Owner::stage(Staged& s, const core::JobEntry& e, std::uint32_t chunk) {
+Owner::Record& Owner::stage(Staged& s, const core::JobEntry& e, std::uint32_t chunk) {
     const auto [it, fresh] = s.chunks.try_emplace({e.job.id, chunk});
     if (fresh) {
-        if (const auto c = e.chunks.find(chunk); c != e.chunks.end()) it->second = c->second;
+        if (const auto c = e.chunks.find(chunk); c != e.chunks.end()) it->second.chunk = c->second;
     }
     return it->second;
 }
 
 void Owner::close(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task, const core::Attempt& a,
                   bool done) {
-    core::Chunk& c = stage(s, e, chunk);
-    c.open.erase(task);
-    if (done) c.done.insert(task);
-    s.closed.push_back({e.job.id, task, a});
+    Record& r = stage(s, e, chunk);
+    r.closed.push_back({e.job.id, task, a});
+    // A task that has to start again waits for this record; one that is done waits for nothing.
+    r.urgent = r.urgent || !done;
+    if (done) r.chunk.done.insert(task);
+    r.chunk.open.erase(task);
 }
 
 void Owner::note_exit(const core::JobEntry& e, const core::Attempt& a, ExitCause cause) {
@@ -148,9 +151,9 @@
         }
         std::uint32_t done = e.done;
         std::uint32_t open = e.open;
-        for (const auto& [key, c] : s.chunks) {
-            if (key.first != id) continue;
-            const auto old = e.chunks.find(key.second);
+        for (auto it = s.chunks.lower_bound({id, 0}); it != s.chunks.end() && it->first.first == id; ++it) {
+            const auto& c = it->second.chunk;
+            const auto old = e.chunks.find(it->first.second);
             done += c.done.size() - (old == e.chunks.end() ? 0 : old->second.done.size());
             open -= static_cast<std::uint32_t>((old == e.chunks.end() ? 0 : old->second.open.size()) - c.open.size());
         }
@@ -158,8 +161,12 @@
     }
 }
 
-void Owner::place(Staged& s) {
+void Owner::place(Staged& s, std::size_t records) {
     core::PlacementInput in;
+    in.most_records = records;
+    // A pass starts what one transaction records; more would hold up what comes after it.
+    in.most_starts = std::max<std::size_t>(in.most_starts, n_.settings.txn_ops * 8);
+    in.most_stops = std::max<std::size_t>(in.most_stops, n_.picture.machines().size() / 32);
     in.ledger = &n_.ledger;
     in.picture = &n_.picture;
     in.teams = &n_.settings.teams;
@@ -189,24 +196,24 @@
         const core::Attempt* a = n_.ledger.open_attempt(h.first.job, h.first.task);
         return h.second.until <= in.now || (a != nullptr && a->machine == h.second.machine);
     });
-    for (const auto& [ref, h] : n_.foreign_holds) {
-        for (std::size_t i = 0; i < room.machines().size(); ++i) {
-            if (room.machines()[i].id == h.machine) room.take(i, h.need);
-        }
-    }
+    for (const auto& [ref, h] : n_.foreign_holds) in.foreign.push_back(h);
     auto result = core::place(in, room);
     for (const auto& [ref, r] : result.reservations) {
-        if (reservations_.contains(ref) || !n_.announce_hold) continue;
+        // Told again before it runs out on the others' side.
+        auto& told = announced_[ref];
+        if (!n_.announce_hold || r.until - told < Micros{3'000'000}) continue;
+        told = r.until;
         n_.announce_hold({r.machine, ref.job, ref.task, r.need.cpus, r.need.gpus, r.need.memory_gb,
-                          static_cast<std::uint64_t>((r.until - in.now).count())});
+                          static_cast<std::uint64_t>((r.until - in.now).count()), r.waiting});
     }
     reservations_ = std::move(result.reservations);
+    std::erase_if(announced_, [&](const auto& a) { return !reservations_.contains(a.first); });
     for (const auto& st : result.starts) {
         const core::JobEntry& e = *n_.ledger.find(st.job);
-        core::Chunk& c = stage(s, e, st.task / core::kChunkTasks);
-        c.open[st.task] = st.attempt;
-        c.last_attempt = std::max(c.last_attempt, st.attempt.number);
-        s.opened_jobs.insert(st.job);
+        Record& r = stage(s, e, st.task / core::kChunkTasks);
+        r.chunk.open[st.task] = st.attempt;
+        r.chunk.last_attempt = std::max(r.chunk.last_attempt, st.attempt.number);
+        r.started.push_back({st.job, st.task, st.attempt});
     }
     for (const auto& st : result.stops) {
         spdlog::debug("event=preempt job={} task={} machine={}", st.job, st.task, st.attempt.machine);
@@ -216,67 +223,101 @@
     }
 }
 
-Task<bool> Owner::commit(Staged s) {
+std::vector<Owner::Unit> Owner::units(Staged& s) {
+    std::vector<Unit> out;
+    const Micros now = steady_now();
+    const std::size_t most = n_.settings.txn_ops;
     // Finished jobs: the end state replaces the job's records in one step. Chunk records beyond the limit
     // are left as orphans, which the sweep removes.
-    std::set<std::string> finishing(s.finished.begin(), s.finished.end());
-    struct Group {
-        wire::Transaction t;
-        std::vector<wire::StoreItem> effects;
-        std::size_t bytes = 0;
-    };
-    std::vector<Group> groups;
-    const std::size_t most = n_.settings.txn_ops;
-    const auto begin = [&](std::size_t writes, std::size_t bytes) -> Group& {
-        if (groups.empty() || groups.back().t.writes.size() + writes > most ||
-            groups.back().t.conditions.size() + 2 * writes + 2 > 4 * most || groups.back().bytes + bytes > kTxnBytes) {
-            groups.emplace_back();
-            groups.back().t.conditions.emplace_back(keys::kEpoch, n_.epoch.stamp);
-        }
-        groups.back().bytes += bytes;
-        return groups.back();
-    };
     for (const auto& id : s.finished) {
         const core::JobEntry& e = *n_.ledger.find(id);
-        const std::size_t chunks = std::min(e.chunks.size(), most - 2);
         const auto status = e.job.cancelled ? wire::JobStatus::cancelled : wire::JobStatus::done;
         std::uint32_t done = 0;
+        Unit u;
+        u.rank = 1;
+        u.conditions.emplace_back(keys::job(id), e.stamp);
+        u.effects.push_back({keys::job(id), std::nullopt, 0});
         for (const auto& [i, c] : e.chunks) {
             const auto st = s.chunks.find({id, i});
-            done += st == s.chunks.end() ? c.done.size() : st->second.done.size();
+            done += st == s.chunks.end() ? c.done.size() : st->second.chunk.done.size();
+            if (c.stamp == 0 || u.effects.size() + 1 >= most) continue;
+            u.conditions.emplace_back(keys::run(id, i), c.stamp);
+            u.effects.push_back({keys::run(id, i), std::nullopt, 0});
         }
-        Group& g = begin(2 + chunks, 200 + chunks * 64);
-        g.t.conditions.emplace_back(keys::job(id), e.stamp);
-        g.t.writes.push_back({keys::final(id), wire::final_record(status, done), 0});
-        g.t.writes.push_back({keys::job(id), std::nullopt, 0});
-        g.effects.push_back({keys::job(id), std::nullopt, 0});
-        std::size_t n = 0;
-        for (const auto& [i, c] : e.chunks) {
-            if (c.stamp == 0 || n++ >= chunks) continue;
-            g.t.conditions.emplace_back(keys::run(id, i), c.stamp);
-            g.t.writes.push_back({keys::run(id, i), std::nullopt, 0});
-            g.effects.push_back({keys::run(id, i), std::nullopt, 0});
+        u.extra.push_back({keys::final(id), wire::final_record(status, done), 0});
+        for (auto it = s.chunks.lower_bound({id, 0}); it != s.chunks.end() && it->first.first == id;) {
+            u.closed.insert(u.closed.end(), it->second.closed.begin(), it->second.closed.end());
+            it = s.chunks.erase(it);
         }
+        u.bytes = 200 + u.effects.size() * 64;
+        out.push_back(std::move(u));
     }
-    for (auto& [key, c] : s.chunks) {
-        if (finishing.contains(key.first)) continue;
+    std::erase_if(waiting_since_, [&](const auto& w) { return !s.chunks.contains(w.first); });
+    for (auto& [key, r] : s.chunks) {
         const core::JobEntry& e = *n_.ledger.find(key.first);
-        auto record = wire::chunk_record(c);
-        Group& g = begin(1, 100 + c.open.size() * 40 + c.done.ranges().size() * 8);
-        g.t.conditions.emplace_back(keys::run(key.first, key.second), c.stamp);
+        const bool production = e.job.priority == core::Priority::production;
+        Unit u;
+        if (!r.started.empty()) {
+            u.rank = production ? 0 : 2;
+        } else {
+            // Ends of tasks alone are told by the worker until they are reaped. They wait for company, since each
+            // write of a record counts the same however much it says.
+            const Micros since = waiting_since_.try_emplace(key, now).first->second;
+            u.rank = r.urgent ? (production ? 0 : 1) : now - since > kEndsWait ? 3 : 4;
+        }
+        u.key = key;
+        u.conditions.emplace_back(keys::run(key.first, key.second), r.chunk.stamp);
         // A cancel that comes first must keep the start from being recorded; and so must the job's end.
-        g.t.conditions.emplace_back(keys::job(key.first), e.stamp);
-        g.t.writes.push_back({keys::run(key.first, key.second), record, 0});
-        g.effects.push_back({keys::run(key.first, key.second), std::move(record), 0});
+        u.conditions.emplace_back(keys::job(key.first), e.stamp);
+        u.effects.push_back({keys::run(key.first, key.second), wire::chunk_record(r.chunk), 0});
+        u.bytes = 100 + r.chunk.open.size() * 40 + r.chunk.done.ranges().size() * 8;
+        u.closed = std::move(r.closed);
+        u.started = std::move(r.started);
+        out.push_back(std::move(u));
     }
-    for (auto& g : groups) {
+    std::stable_sort(out.begin(), out.end(), [](const Unit& a, const Unit& b) { return a.rank < b.rank; });
+    return out;
+}
+
+Task<bool> Owner::commit(std::vector<Unit> all) {
+    const std::size_t most = n_.settings.txn_ops;
+    std::size_t next = 0;
+    while (next < all.size()) {
+        wire::Transaction t;
+        t.conditions.emplace_back(keys::kEpoch, n_.epoch.stamp);
+        std::size_t bytes = 0;
+        const std::size_t first = next;
+        for (; next < all.size(); ++next) {
+            const Unit& u = all[next];
+            const std::size_t writes = u.effects.size() + u.extra.size();
+            if (next != first && (t.writes.size() + writes > most || t.conditions.size() + u.conditions.size() > 4 * most ||
+                                  bytes + u.bytes > kTxnBytes)) {
+                break;
+            }
+            t.conditions.insert(t.conditions.end(), u.conditions.begin(), u.conditions.end());
+            for (const auto& w : u.extra) t.writes.push_back({w.key, w.value, 0});
+            for (const auto& w : u.effects) t.writes.push_back({w.key, w.value, 0});
+            bytes += u.bytes;
+        }
+        const std::uint64_t epoch = n_.epoch.number;
         while (true) {
-            auto task = n_.state.commit(g.t, steady_now() + Micros{3'000'000});
+            auto task = n_.state.commit(t, steady_now() + Micros{3'000'000});
             const CommitResult r = co_await std::move(task);
             if (r.outcome == Commit::done) {
-                for (auto& e : g.effects) {
-                    e.stamp = r.revision;
-                    replica_.apply(e);
+                for (std::size_t i = first; i < next; ++i) {
+                    for (auto& e : all[i].effects) {
+                        e.stamp = r.revision;
+                        replica_.apply(e);
+                    }
+                    waiting_since_.erase(all[i].key);
+                    for (auto& c : all[i].closed) to_reap_.push_back(std::move(c));
+                    // Recorded, so it may start; if this node is the owner no more, its order is void.
+                    if (!n_.acting() || epoch != n_.epoch.number) continue;
+                    for (const auto& st : all[i].started) {
+                        memos_[{st.job, st.task}] = Memo{st.attempt.number, steady_now(), Micros{0}};
+                        workers_.order(st.attempt.machine, st.attempt.session,
+                                       {core::OrderKind::start, st.job, st.task, st.attempt.number, 0});
+                    }
                 }
                 break;
             }
@@ -295,7 +336,6 @@
             co_return false;
         }
     }
-    for (auto& c : s.closed) to_reap_.push_back(std::move(c));
     co_return true;
 }
 
@@ -348,28 +388,49 @@
 Task<void> Owner::run() {
     while (true) {
         co_await n_.work.wait(steady_now() + Micros{400'000});
-        // Close changes share one pass and one group commit.
-        co_await n_.loop.sleep(n_.tunables.pass_gap);
-        for (int round = 0; round < 4; ++round) {
-            if (!n_.acting() || !n_.catalog) break;
-            if (epoch_seen_ != n_.epoch.number) {
-                epoch_seen_ = n_.epoch.number;
-                memos_.clear();
-                reservations_.clear();
-            }
-            Staged s;
-            settle(s);
-            if (!n_.state.reachable(steady_now())) break;  // nothing new is placed in an outage
-            place(s);
-            if (s.chunks.empty() && s.finished.empty()) {
-                reap();
-                break;
+        // Close changes share one pass and one group commit. A pass that takes long on this machine leaves the
+        // time of two more to reports, users and renewals.
+        co_await n_.loop.sleep(std::max(n_.tunables.pass_gap, 2 * last_pass_));
+        if (!n_.acting() || !n_.catalog) continue;
+        if (epoch_seen_ != n_.epoch.number) {
+            epoch_seen_ = n_.epoch.number;
+            memos_.clear();
+            reservations_.clear();
+            waiting_since_.clear();
+        }
+        const Micros began = steady_now();
+        Staged s;
+        settle(s);
+        // Nothing new is placed in an outage.
+        if (n_.state.reachable(steady_now())) {
+            // What the budget bears within half a second, but enough for one record of each sort.
+            const double spare = std::max(0.0, n_.state.spare_writes());
+            const double bear = std::max(6.0, spare + n_.state.write_rate() * 0.5);
+            std::size_t pressing = s.finished.size() * 3;
+            for (const auto& [key, r] : s.chunks) pressing += r.urgent ? 1 : 0;
+            place(s, static_cast<std::size_t>(std::max(3.0, bear - static_cast<double>(pressing))));
+            auto all = units(s);
+            double sum = 0;
+            double left_out = 0;
+            std::erase_if(all, [&](const Unit& u) {
+                const auto writes = static_cast<double>(u.effects.size() + u.extra.size());
+                // The last rank takes what would else go to waste.
+                const bool out = sum > 0 && sum + writes > (u.rank >= 4 ? spare * 0.5 : bear);
+                (out ? left_out : sum) += writes;
+                return out;
+            });
+            n_.state.want(std::min(left_out, 1.0));
+            last_pass_ = std::min(steady_now() - began, Micros{1'000'000});
+            if (!all.empty()) {
+                auto task = commit(std::move(all));
+                const bool ok = co_await std::move(task);
+                // The room of the pass is used up by then: another pass sees what is left to do.
+                if (ok) n_.work.notify_all();
             }
-            auto task = commit(std::move(s));
-            const bool ok = co_await std::move(task);
-            if (!ok) break;
-            reap();
+        } else {
+            last_pass_ = steady_now() - began;
         }
+        reap();
         if (!n_.leads()) continue;
         // Records of finished jobs that did not fit into the finishing transaction.
         const auto orphans = n_.ledger.orphans();
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -32,11 +32,27 @@
         core::Attempt attempt;
     };
     using ChunkKey = std::pair<std::string, std::uint32_t>;
+    // A record of the store as it will be, and what made it so.
+    struct Record {
+        core::Chunk chunk;
+        std::vector<Closed> closed;
+        std::vector<Closed> started;
+        bool urgent = false;  // a task waits for this record to start again
+    };
     struct Staged {
-        std::map<ChunkKey, core::Chunk> chunks;
-        std::set<std::string> opened_jobs;  // their starts are conditional on the job as it is known
+        std::map<ChunkKey, Record> chunks;
         std::vector<std::string> finished;
+    };
+    // What is written together or not at all.
+    struct Unit {
+        int rank = 0;  // lower goes first
+        ChunkKey key;
+        std::vector<std::pair<std::string, core::Stamp>> conditions;
+        std::vector<wire::StoreItem> effects;  // written, and then part of the copy
+        std::vector<wire::StoreItem> extra;    // written only
         std::vector<Closed> closed;
+        std::vector<Closed> started;
+        std::size_t bytes = 0;
     };
 
     void settle(Staged& s);
@@ -45,10 +61,11 @@
     void note_exit(const core::JobEntry& e, const core::Attempt& a, core::ExitCause cause);
     void close(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task, const core::Attempt& a,
                bool done);
-    core::Chunk& stage(Staged& s, const core::JobEntry& e, std::uint32_t chunk);
-    void place(Staged& s);
+    Record& stage(Staged& s, const core::JobEntry& e, std::uint32_t chunk);
+    void place(Staged& s, std::size_t records);
+    std::vector<Unit> units(Staged& s);
     // False when the pass must begin anew.
-    io::Task<bool> commit(Staged s);
+    io::Task<bool> commit(std::vector<Unit> all);
     void reap();
     void stop(const std::string& job, std::uint32_t task, const core::Attempt& a, double grace_s, io::Micros every);
 
@@ -59,8 +76,11 @@
     std::map<std::string, Trouble> machine_trouble_;
     std::map<std::string, Trouble> job_trouble_;
     std::map<core::TaskRef, core::Reservation> reservations_;
+    std::map<core::TaskRef, io::Micros> announced_;  // until when the others know of a reservation
     std::map<core::TaskRef, io::Micros> stopping_;  // until when a stop for room may take
     std::vector<Closed> to_reap_;
+    std::map<ChunkKey, io::Micros> waiting_since_;  // ends that wait for company
+    io::Micros last_pass_{0};
     std::map<std::tuple<std::string, std::string, std::uint32_t, std::uint64_t>, std::uint64_t> strays_;
     std::uint64_t epoch_seen_ = 0;
     io::Micros last_sweep_{0};
--- a/src/service/replica.cpp
+++ b/src/service/replica.cpp
@@ -12,7 +12,6 @@
 constexpr std::string_view kJob = "h/job/";
 constexpr std::string_view kRun = "h/run/";
 constexpr std::string_view kNode = "h/node/";
-constexpr std::string_view kMachine = "h/machine/";
 }  // namespace
 
 void Replica::apply(const wire::StoreItem& item) {
@@ -26,7 +25,7 @@
             spdlog::info("event=epoch number={} leader={} members={} at={}", e->number, e->leader, e->members.size(),
                          item.stamp);
             n_.epoch = std::move(*e);
-            n_.state.share(n_.epoch.members.size());
+            n_.epoch_seen = steady_now();
         }
     } else if (key.starts_with(kNode)) {
         const std::string label{key.substr(kNode.size())};
@@ -55,12 +54,12 @@
         } else if (ok) {
             n_.ledger.erase_chunk(ref->first, ref->second, item.stamp);
         }
-    } else if (key.starts_with(kMachine)) {
-        const std::string id{key.substr(kMachine.size())};
-        if (item.value) {
-            n_.draining[id] = item.stamp;
-        } else {
-            n_.draining.erase(id);
+    } else if (key == keys::kDraining && item.value && item.stamp > n_.draining_stamp) {
+        auto names = wire::parse_names_record(*item.value);
+        ok = names.has_value();
+        if (ok) {
+            n_.draining = std::move(*names);
+            n_.draining_stamp = item.stamp;
         }
     }
     if (!ok) spdlog::error("event=bad_record key={} stamp={}", item.key, item.stamp);
@@ -84,6 +83,7 @@
     n_.ledger.clear();
     n_.nodes.clear();
     n_.draining.clear();
+    n_.draining_stamp = 0;
     for (const auto& i : all) apply(i);
     n_.revision = first;
     n_.synced = true;
@@ -140,7 +140,7 @@
 
 Task<bool> Replica::caught_up(Micros deadline) {
     // One read in flight serves all that wait; whoever comes while it is under way needs the next one.
-    const std::uint64_t wanted = reads_ + (reading_ ? 2 : 1);
+    const std::uint64_t wanted = reads_ + (read_sent_ ? 2 : 1);
     while (reads_ < wanted) {
         if (steady_now() >= deadline) co_return false;
         if (reading_) {
@@ -148,9 +148,15 @@
             continue;
         }
         reading_ = true;
+        // Reads count against the request budget: polls that come close together share one.
+        const auto nodes = static_cast<double>(n_.peers.size() + 1);
+        const Micros next = last_read_ + Micros{static_cast<std::int64_t>(nodes * 4e6 / n_.settings.state_rps)};
+        if (next > steady_now()) co_await n_.loop.sleep(next - steady_now());
+        last_read_ = steady_now();
+        read_sent_ = true;
         auto task = n_.state.get("h/~", std::min(deadline, steady_now() + Micros{900'000}));
         const GetResult r = co_await std::move(task);
-        reading_ = false;
+        reading_ = read_sent_ = false;
         ++reads_;
         read_ok_ = r.ok && !r.value;
         if (read_ok_) read_revision_ = std::max(read_revision_, r.revision);
--- a/src/service/replica.hpp
+++ b/src/service/replica.hpp
@@ -11,7 +11,7 @@
 inline std::string node(const std::string& label) { return "h/node/" + label; }
 inline std::string job(const std::string& id) { return "h/job/" + id; }
 inline std::string run(const std::string& id, std::uint32_t chunk) { return "h/run/" + id + "/" + std::to_string(chunk); }
-inline std::string machine(const std::string& id) { return "h/machine/" + id; }
+constexpr const char* kDraining = "h/draining";
 inline std::string final(const std::string& id) { return "f/" + id; }
 }  // namespace keys
 
@@ -29,8 +29,10 @@
     io::Task<bool> load();
     Node& n_;
     io::Signal read_done_;
-    bool reading_ = false;
+    bool reading_ = false;    // one is under way, or waits for its turn
+    bool read_sent_ = false;  // it has been sent: it serves nobody who comes now
     std::uint64_t reads_ = 0;
+    io::Micros last_read_{0};  // steady
     core::Stamp read_revision_ = 0;
     bool read_ok_ = false;
 };
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -10,7 +10,7 @@
 io::HttpLimits limits(const Settings& s) {
     io::HttpLimits l;
     // Sockets for workers, store, cloud and mesh stay free; a connection's buffers take some 8 KiB.
-    const auto by_memory = static_cast<std::size_t>(s.memory_mb * 1024 / 4 / 32);
+    const auto by_memory = static_cast<std::size_t>(s.memory_mb * 1024 / 2 / 32);
     l.connections = std::min(s.max_connections * 2 / 3, std::max<std::size_t>(by_memory, 64));
     return l;
 }
@@ -39,6 +39,7 @@
     scope_.spawn(membership_.keep_epoch());
     mesh_.start(scope_);
     scope_.spawn(workers_.watch_reach());
+    scope_.spawn(workers_.keep_reach());
     scope_.spawn(owner_.run());
     scope_.spawn(leader_.keep_catalog());
     scope_.spawn(leader_.keep_list());
--- a/src/service/settings.cpp
+++ b/src/service/settings.cpp
@@ -239,6 +239,9 @@
     take("drain.use_threshold", 0, 1, [&](double v) { t.drain.use_threshold = v; });
     count("drain.total_cap", 1, 100, t.drain.total_cap);
     count("drain.busy_cap", 0, 100, t.drain.busy_cap);
+    take("fleet.rent_share", 0, 1, [&](double v) { t.rent_share = v; });
+    take("drain.total_share", 0, 1, [&](double v) { t.drain_share = v; });
+    take("drain.busy_share", 0, 1, [&](double v) { t.drain_busy_share = v; });
     if (!left.empty()) fail(left.begin()->first, "an unknown key", "a key that docs/operations.md lists");
     if (t.renew_every * 2 > t.grant_life) fail("mandate.renew_seconds", "too long", "at most half of mandate.grant_seconds");
     return t;
--- a/src/service/settings.hpp
+++ b/src/service/settings.hpp
@@ -60,6 +60,10 @@
     core::Micros drain_loop{5'000'000};
     core::Micros drain_bound{50'000};
     core::FleetSettings fleet;
+    // Parts of the fleet; the counts in the planners' settings are the least.
+    double drain_share = 0.15;
+    double drain_busy_share = 0.04;
+    double rent_share = 0.25;
 };
 
 using Properties = std::map<std::string, std::string>;
--- a/src/service/state_client.cpp
+++ b/src/service/state_client.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <cmath>
+
 namespace hatchwind::service {
 
 using io::Micros;
@@ -14,17 +16,26 @@
 
 StateClient::StateClient(io::Loop& loop, const Settings& s)
     : loop_(loop), settings_(s), http_(loop, 6), requests_(1, 1), writes_(1, 1) {
-    share(s.peers.size() + 1);
+    share(s.peers.size() + 1, 1.0 / static_cast<double>(s.peers.size() + 1));
 }
 
-void StateClient::share(std::size_t nodes) {
+void StateClient::share(std::size_t nodes, double writes) {
     const double n = static_cast<double>(std::max<std::size_t>(nodes, 1));
     // A little below the limits: other nodes' bursts fall into the same second.
     requests_.set(settings_.state_rps * 0.9 / n, std::max(4.0, settings_.state_rps * 0.5 / n));
-    writes_.set(settings_.state_write_rps * 0.9 / n,
-                std::max(static_cast<double>(settings_.txn_ops), settings_.state_write_rps * 0.6 / n));
+    const double rate = settings_.state_write_rps * 0.92 * writes;
+    writes_.set(rate, std::max(4.0, rate * 0.9));
+}
+
+void StateClient::want(double writes) {
+    const Micros now = steady_now();
+    if (demand_at_.count() != 0) demand_ *= std::exp(-static_cast<double>((now - demand_at_).count()) / 1e6 / kDemandSpan);
+    demand_at_ = now;
+    demand_ = std::min(demand_ + writes, settings_.state_write_rps * kDemandSpan);
 }
 
+double StateClient::spare_writes() { return writes_.spare(steady_now()); }
+
 bool StateClient::reachable(Micros now) const {
     return failing_since_.count() == 0 || now - failing_since_ < Micros{600'000};
 }
@@ -33,20 +44,19 @@
                                       double writes, bool urgent, std::size_t most, double debt) {
     io::HttpReply reply;
     if (!urgent) {
-        while (true) {
-            const Micros now = steady_now();
-            const Micros wait = std::max(requests_.wait(1, now, debt), writes > 0 ? writes_.wait(writes, now, debt) : Micros{0});
-            if (wait.count() == 0) break;
-            if (now + wait >= deadline) {
-                reply.status = 429;  // our own budget: never sent
-                reply.never_sent = true;
-                co_return reply;
-            }
-            co_await loop_.sleep(wait);
+        const Micros now = steady_now();
+        const Micros wait = std::max(requests_.wait(1, now, debt), writes > 0 ? writes_.wait(writes, now, debt) : Micros{0});
+        if (now + wait >= deadline) {
+            reply.status = 429;  // our own budget: never sent
+            reply.never_sent = true;
+            co_return reply;
         }
+        requests_.spend(1, now);
+        if (writes > 0) writes_.spend(writes, now);
+        if (wait.count() > 0) co_await loop_.sleep(wait);
+    } else {
+        requests_.spend(1, steady_now());
     }
-    requests_.spend(1, steady_now());
-    if (writes > 0) writes_.spend(writes, steady_now());
     auto task = http_.send(settings_.state, std::move(method), std::move(target), std::move(body), deadline, most);
     reply = co_await std::move(task);
     const Micros now = steady_now();
@@ -105,6 +115,7 @@
 Task<CommitResult> StateClient::commit(wire::Transaction t, Micros deadline, bool for_user) {
     CommitResult out;
     const auto writes = static_cast<double>(t.writes.size());
+    want(writes);
     auto task = call("POST", "/commit", wire::encode(wire::transaction_request(t)), deadline, writes, false, 4U << 20U,
                      for_user ? 0.7 : 0);
     const io::HttpReply r = co_await std::move(task);
--- a/src/service/state_client.hpp
+++ b/src/service/state_client.hpp
@@ -51,8 +51,13 @@
     io::Task<void> end_grant(std::uint64_t grant);
     io::Task<WatchResult> watch(std::string prefix, core::Stamp after, io::Micros block);
 
-    // The limits are for all nodes together.
-    void share(std::size_t nodes);
+    // The limits are for all nodes together. `writes`: this node's part of them.
+    void share(std::size_t nodes, double writes);
+    // Writes that wait for the budget count as wanted, too.
+    void want(double writes);
+    double demand() const { return demand_ / kDemandSpan; }  // writes wanted a second, of late
+    double spare_writes();
+    double write_rate() const { return writes_.rate(); }
     bool reachable(io::Micros now) const;
     io::Micros last_ok() const { return last_ok_; }
     io::Micros failing_since() const { return failing_since_; }
@@ -71,6 +76,9 @@
     io::Micros last_ok_{0};
     io::Micros failing_since_{0};  // 0: the last call was answered
     std::uint64_t malformed_ = 0;
+    static constexpr double kDemandSpan = 3;  // seconds
+    double demand_ = 0;
+    io::Micros demand_at_{0};
 };
 
 }  // namespace hatchwind::service
--- a/src/service/workers.cpp
+++ b/src/service/workers.cpp
@@ -12,6 +12,7 @@
 namespace {
 constexpr Micros kOrderTime{2'500'000};
 constexpr std::size_t kOutboxOrders = 256;
+constexpr std::size_t kAsking = 32;
 }  // namespace
 
 Task<HttpResponse> Workers::hello(std::string body) {
@@ -39,20 +40,26 @@
         if (out.body.empty()) out.body = wire::encode(wire::home_answer(""));
         co_return out;
     }
-    n_.take_report(*r, true);
+    n_.take_report(std::move(*r), true);
     out.body = wire::encode(wire::report_answer(n_.epoch.number));
     co_return out;
 }
 
 void Workers::order(const std::string& machine, std::uint64_t session, core::Order o) {
     Outbox& box = outboxes_[machine];
-    if (box.session != session) {
-        // Orders die with the session they were meant for.
+    if (box.session != session || box.epoch != n_.epoch.number) {
+        // Orders die with the session they were meant for, and with the epoch they were given in.
+        for (const auto& old : box.orders) settle_copy(old, box.epoch);
         box.orders.clear();
         box.session = session;
+        box.epoch = n_.epoch.number;
     }
     if (box.orders.size() >= kOutboxOrders) return;  // repeated later by whoever wants it
-    if (o.kind == core::OrderKind::start) unanswered_[{o.job, o.task, o.attempt}] = n_.epoch.number;
+    if (o.kind == core::OrderKind::start) {
+        Sent& sent = unanswered_[{o.job, o.task, o.attempt}];
+        if (sent.epoch != n_.epoch.number) sent = {n_.epoch.number, 0};
+        ++sent.copies;
+    }
     box.orders.push_back(std::move(o));
     if (!box.busy) {
         box.busy = true;
@@ -62,7 +69,13 @@
 
 bool Workers::start_pending(const std::string& job, std::uint32_t task, std::uint64_t attempt) const {
     const auto it = unanswered_.find({job, task, attempt});
-    return it != unanswered_.end() && it->second == n_.epoch.number;
+    return it != unanswered_.end() && it->second.epoch == n_.epoch.number;
+}
+
+void Workers::settle_copy(const core::Order& o, std::uint64_t epoch) {
+    if (o.kind != core::OrderKind::start) return;
+    const auto it = unanswered_.find({o.job, o.task, o.attempt});
+    if (it != unanswered_.end() && it->second.epoch == epoch && --it->second.copies == 0) unanswered_.erase(it);
 }
 
 void Workers::absorb_answer(const std::string& body) {
@@ -73,7 +86,7 @@
         spdlog::warn("event=malformed_order_answer count={}", malformed_);
         return;
     }
-    n_.take_report(*r, false);
+    n_.take_report(std::move(*r), false);
 }
 
 Task<void> Workers::send(std::string machine) {
@@ -85,33 +98,78 @@
         const core::MachineView* view = n_.picture.find(machine);
         const auto address = view == nullptr ? std::nullopt : io::parse_address(view->last.address);
         if (box->second.orders.empty() || !address || !n_.acting()) {
-            for (const auto& o : box->second.orders) {
-                // Never sent, so nothing of it can be under way.
-                if (o.kind == core::OrderKind::start) unanswered_.erase({o.job, o.task, o.attempt});
-            }
+            // Never sent, so nothing of them can be under way.
+            for (const auto& o : box->second.orders) settle_copy(o, box->second.epoch);
             outboxes_.erase(box);
             co_return;
         }
         const auto orders = std::exchange(box->second.orders, {});
         const std::uint64_t session = box->second.session;
+        const std::uint64_t epoch = box->second.epoch;
         auto task = n_.workers_http.send(*address, "POST", "/orders",
-                                         wire::encode(wire::orders_request(n_.epoch.number, session, orders)),
+                                         wire::encode(wire::orders_request(epoch, session, orders)),
                                          steady_now() + kOrderTime, 256 * 1024);
         const io::HttpReply reply = co_await std::move(task);
         const bool answered = reply.status == 200 || reply.status == 409;
         if (answered || reply.never_sent) {
-            for (const auto& o : orders) {
-                if (o.kind == core::OrderKind::start) unanswered_.erase({o.job, o.task, o.attempt});
-            }
+            // One copy of each: another one that got no answer may still arrive.
+            for (const auto& o : orders) settle_copy(o, epoch);
         }
         if (answered) {
             absorb_answer(reply.body);
             n_.work.notify_all();
         } else {
+            n_.note_unanswered(machine);
             spdlog::debug("event=order_unanswered machine={} status={} orders={}", machine, reply.status, orders.size());
         }
         if (unanswered_.size() > 4096) {
-            std::erase_if(unanswered_, [&](const auto& u) { return u.second != n_.epoch.number; });
+            std::erase_if(unanswered_, [&](const auto& u) { return u.second.epoch != n_.epoch.number; });
+        }
+    }
+}
+
+Task<void> Workers::ask(std::string machine) {
+    struct Count {
+        std::size_t& n;
+        ~Count() { --n; }
+    } count{asking_};
+    const core::MachineView* view = n_.picture.find(machine);
+    const auto address = view == nullptr ? std::nullopt : io::parse_address(view->last.address);
+    if (!address) {
+        n_.suspects.erase(machine);
+        co_return;
+    }
+    auto task = n_.workers_http.send(*address, "GET", "/status", "", steady_now() + Micros{1'500'000}, 256 * 1024);
+    const io::HttpReply reply = co_await std::move(task);
+    if (reply.status == 200) {
+        absorb_answer(reply.body);
+        n_.suspects.erase(machine);
+        n_.work.notify_all();
+        co_return;
+    }
+    const auto it = n_.suspects.find(machine);
+    if (it == n_.suspects.end()) co_return;
+    it->second.pause = std::min(it->second.pause * 2, Micros{4'000'000});
+    n_.note_unanswered(machine);
+}
+
+Task<void> Workers::keep_reach() {
+    // Asks machines whose reports alone prove nothing: new ones, silent ones that are back, and those that
+    // report but did not answer an order. One that only sends would otherwise be given tasks for ever.
+    while (true) {
+        co_await n_.loop.sleep(Micros{200'000});
+        if (!n_.synced) continue;
+        const Micros now = steady_now();
+        std::vector<std::string> due;
+        std::erase_if(n_.suspects, [&](const auto& s) { return n_.picture.find(s.first) == nullptr; });
+        for (const auto& [machine, s] : n_.suspects) {
+            if (asking_ + due.size() >= kAsking) break;
+            if (s.next <= now) due.push_back(machine);
+        }
+        for (const auto& machine : due) {
+            n_.suspects[machine].next = now + Micros{2'000'000};
+            ++asking_;
+            scope_.spawn(ask(machine));
         }
     }
 }
--- a/src/service/workers.hpp
+++ b/src/service/workers.hpp
@@ -18,6 +18,8 @@
     // True while a copy of this attempt's start, sent under the current epoch, may still be under way: then a
     // reap could be followed by a second start.
     bool start_pending(const std::string& job, std::uint32_t task, std::uint64_t attempt) const;
+    // Asks machines that have yet to show that they hear us.
+    io::Task<void> keep_reach();
     // Watches whether this node can reach workers at all.
     io::Task<void> watch_reach();
     std::uint64_t malformed() const { return malformed_; }
@@ -25,6 +27,7 @@
   private:
     struct Outbox {
         std::uint64_t session = 0;
+        std::uint64_t epoch = 0;
         std::vector<core::Order> orders;
         bool busy = false;
     };
@@ -35,7 +38,16 @@
     Node& n_;
     io::Scope& scope_;
     std::map<std::string, Outbox> outboxes_;
-    std::map<AttemptKey, std::uint64_t> unanswered_;  // start -> epoch under which it was sent
+    // Copies of a start that were sent under an epoch and not answered. Each of them may still arrive: one that
+    // came after a reap would start the task again.
+    struct Sent {
+        std::uint64_t epoch = 0;
+        std::uint32_t copies = 0;
+    };
+    void settle_copy(const core::Order& o, std::uint64_t epoch);
+    io::Task<void> ask(std::string machine);
+    std::map<AttemptKey, Sent> unanswered_;
+    std::size_t asking_ = 0;
     std::uint64_t malformed_ = 0;
 };
 
--- a/src/wire/mesh_codec.cpp
+++ b/src/wire/mesh_codec.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-enum class Kind : std::uint8_t { hello = 1, beat = 2, report = 3, ask = 4, promise = 5, hold = 6 };
+enum class Kind : std::uint8_t { hello = 1, beat = 2, report = 3, ask = 4, promise = 5, hold = 6, alive = 7 };
 
 class Writer {
   public:
@@ -115,6 +115,10 @@
     for (const auto& c : m.candidates) w.s(c);
     w.u(m.hears.size());
     for (const auto& h : m.hears) w.s(h);
+    w.u(m.demand);
+    w.u(m.workers);
+    w.u(m.unanswered.size());
+    for (const auto& a : m.unanswered) w.s(a);
 }
 void put(Writer& w, const MeshReport& m) {
     const auto& r = m.report;
@@ -143,6 +147,15 @@
         w.s(image);
         w.f(gb);
     }
+    w.b(m.confirmed);
+}
+void put(Writer& w, const MeshAlive& m) {
+    w.s(m.machine);
+    w.u(m.session);
+    w.u(m.tick);
+    w.u(m.token);
+    w.u(m.content_tick);
+    w.i(m.heard_us);
 }
 void put(Writer& w, const MeshAsk& m) {
     w.u(m.number);
@@ -161,6 +174,7 @@
     w.f(m.gpus);
     w.f(m.memory_gb);
     w.u(m.for_us);
+    w.b(m.waiting);
 }
 
 MeshBeat get_beat(Reader& r) {
@@ -180,6 +194,9 @@
     for (auto n = r.count(); n > 0 && r.ok(); --n) m.released.push_back(r.s());
     for (auto n = r.count(); n > 0 && r.ok(); --n) m.candidates.push_back(r.s());
     for (auto n = r.count(); n > 0 && r.ok(); --n) m.hears.push_back(r.s());
+    m.demand = r.u();
+    m.workers = r.u();
+    for (auto n = r.count(); n > 0 && r.ok(); --n) m.unanswered.push_back(r.s());
     return m;
 }
 
@@ -217,6 +234,7 @@
         const double gb = r.f();
         m.images.emplace_back(std::move(image), gb);
     }
+    m.confirmed = r.b();
     return m;
 }
 
@@ -259,6 +277,18 @@
             m.gpus = r.f();
             m.memory_gb = r.f();
             m.for_us = r.u();
+            m.waiting = r.b();
+            out = m;
+            break;
+        }
+        case Kind::alive: {
+            MeshAlive m;
+            m.machine = r.s();
+            m.session = r.u();
+            m.tick = r.u();
+            m.token = r.u();
+            m.content_tick = r.u();
+            m.heard_us = r.i();
             out = m;
             break;
         }
@@ -271,7 +301,7 @@
 
 std::string encode_frame(const MeshMessage& m) {
     static constexpr Kind kinds[] = {Kind::hello, Kind::beat, Kind::report, Kind::ask, Kind::promise,
-                                     Kind::hold};
+                                     Kind::hold,  Kind::alive};
     Writer w{kinds[m.index()]};
     std::visit([&](const auto& v) { put(w, v); }, m);
     return w.frame();
@@ -279,11 +309,12 @@
 
 std::optional<MeshMessage> FrameReader::next() {
     if (broken_) return std::nullopt;
+    const std::string_view left = std::string_view(buffer_).substr(at_);
     std::uint64_t length = 0;
     std::size_t used = 0;
     while (true) {
-        if (used >= buffer_.size()) return std::nullopt;
-        const auto c = static_cast<std::uint8_t>(buffer_[used]);
+        if (used >= left.size()) return std::nullopt;
+        const auto c = static_cast<std::uint8_t>(left[used]);
         length |= static_cast<std::uint64_t>(c & 0x7fU) << (7 * used);
         ++used;
         if ((c & 0x80U) == 0) break;
@@ -296,10 +327,10 @@
         broken_ = true;
         return std::nullopt;
     }
-    if (buffer_.size() - used < length) return std::nullopt;
-    auto out = parse(std::string_view(buffer_).substr(used, length));
+    if (left.size() - used < length) return std::nullopt;
+    auto out = parse(left.substr(used, length));
     if (!out) broken_ = true;
-    buffer_.erase(0, used + length);
+    at_ += used + length;
     return out;
 }
 
--- a/src/wire/mesh_codec.hpp
+++ b/src/wire/mesh_codec.hpp
@@ -13,7 +13,7 @@
 
 namespace hatchwind::wire {
 
-constexpr std::uint64_t kMeshVersion = 1;
+constexpr std::uint64_t kMeshVersion = 2;
 constexpr std::size_t kMeshFrameBytes = 1U << 20U;
 
 // First on every connection.
@@ -24,7 +24,8 @@
 };
 
 // Sent about twice a second. `answered` tells when this node last answered each worker: others may count a
-// worker's lease as ended only by such tables from every member.
+// worker's lease as ended only by such tables from every member. The first beat of a connection has the whole
+// table, later ones what has changed since: frames of one connection arrive all and in order.
 struct MeshBeat {
     std::string label;
     std::uint64_t grant = 0;
@@ -37,6 +38,9 @@
     std::vector<std::string> released;                           // machines that the cloud confirmed as gone
     std::vector<std::string> candidates;                         // leader only: the drain planner's set
     std::vector<std::string> hears;                              // nodes whose beats reach this one
+    std::uint64_t demand = 0;             // store writes wanted a second, in tenths
+    std::uint64_t workers = 0;            // workers that report to this node
+    std::vector<std::string> unanswered;  // machines that report but do not answer this node
     friend bool operator==(const MeshBeat&, const MeshBeat&) = default;
 };
 
@@ -44,6 +48,18 @@
     core::WorkerReport report;
     std::int64_t heard_us = 0;  // time of day
     std::vector<std::pair<std::string, double>> images;
+    bool confirmed = false;  // the machine has answered a request
+};
+
+// A report that says nothing new. It counts only for whoever has the tasks of `content_tick` or later.
+struct MeshAlive {
+    std::string machine;
+    std::uint64_t session = 0;
+    std::uint64_t tick = 0;
+    std::uint64_t token = 0;
+    std::uint64_t content_tick = 0;
+    std::int64_t heard_us = 0;
+    friend bool operator==(const MeshAlive&, const MeshAlive&) = default;
 };
 
 struct MeshAsk {
@@ -65,23 +81,29 @@
     std::uint32_t task = 0;
     double cpus = 0, gpus = 0, memory_gb = 0;
     std::uint64_t for_us = 0;
+    bool waiting = false;  // for an overdue job, without anything being stopped
     friend bool operator==(const MeshHold&, const MeshHold&) = default;
 };
 
-using MeshMessage = std::variant<MeshHello, MeshBeat, MeshReport, MeshAsk, MeshPromise, MeshHold>;
+using MeshMessage = std::variant<MeshHello, MeshBeat, MeshReport, MeshAsk, MeshPromise, MeshHold, MeshAlive>;
 
 std::string encode_frame(const MeshMessage& m);
 
 // Takes whole frames off the front of a buffer.
 class FrameReader {
   public:
-    void add(std::string_view bytes) { buffer_.append(bytes); }
+    void add(std::string_view bytes) {
+        buffer_.erase(0, at_);
+        at_ = 0;
+        buffer_.append(bytes);
+    }
     // The next message; nothing when more bytes are needed. broken() after input that is no frame.
     std::optional<MeshMessage> next();
     bool broken() const { return broken_; }
 
   private:
     std::string buffer_;
+    std::size_t at_ = 0;  // everything before it was taken
     bool broken_ = false;
 };
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -505,6 +505,19 @@
     return e;
 }
 
+Json names_record(const std::set<std::string>& names) { return {{"names", names}}; }
+
+std::optional<std::set<std::string>> parse_names_record(const Json& v) {
+    const auto it = v.is_object() ? v.find("names") : v.end();
+    if (!v.is_object() || it == v.end() || !it->is_array()) return std::nullopt;
+    std::set<std::string> out;
+    for (const auto& n : *it) {
+        if (!n.is_string()) return std::nullopt;
+        out.insert(n.get<std::string>());
+    }
+    return out;
+}
+
 Json final_record(JobStatus s, std::uint32_t done) { return {{"s", status_name(s)}, {"done", done}}; }
 
 std::optional<std::pair<JobStatus, std::uint32_t>> parse_final_record(const Json& v) {
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -78,6 +79,8 @@
 std::optional<core::Chunk> parse_chunk_record(const Json& v, core::Stamp stamp);
 Json epoch_record(const core::Epoch& e);
 std::optional<core::Epoch> parse_epoch_record(const Json& v, core::Stamp stamp);
+Json names_record(const std::set<std::string>& names);
+std::optional<std::set<std::string>> parse_names_record(const Json& v);
 Json final_record(JobStatus s, std::uint32_t done);
 std::optional<std::pair<JobStatus, std::uint32_t>> parse_final_record(const Json& v);
 
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -67,7 +67,15 @@
         RC_ASSERT(e->open == open);
         RC_ASSERT(e->done == done);
         RC_ASSERT(std::abs(l.team_use("x").cpus - 2.0 * open) < 1e-9);
-        for (const auto& m : {"n-0", "n-1", "n-2"}) RC_ASSERT(l.on_machine(m) == where[m]);
+        for (const auto& m : {"n-0", "n-1", "n-2"}) {
+            std::set<core::TaskRef> there;
+            for (const auto& [ref, held] : l.on_machine(m)) {
+                there.insert(ref);
+                const auto* a = l.open_attempt(ref.job, ref.task);
+                RC_ASSERT(held.entry == e && a != nullptr && a->number == held.number && a->session == held.session);
+            }
+            RC_ASSERT(there == where[m]);
+        }
         const auto todo = core::unstarted_tasks(*e, 1000);
         RC_ASSERT(todo.size() == e->unstarted());
         for (const auto t : todo) RC_ASSERT(l.open_attempt("req-1", t) == nullptr);
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -43,8 +43,8 @@
         std::map<std::string, core::ZoneUse> zones;
         std::vector<std::tuple<const core::JobEntry*, std::string, std::string>> moves;
         for (const auto& [id, since] : state.candidate_since) {
-            for (const auto& ref : c.ledger.on_machine(id)) {
-                const auto& e = *c.ledger.find(ref.job);
+            for (const auto& [ref, held] : c.ledger.on_machine(id)) {
+                const auto& e = *held.entry;
                 RC_ASSERT(e.job.kind != core::JobKind::gang);
                 RC_ASSERT(state.destinations.contains(ref));
                 const auto& to = state.destinations.at(ref);
--- /dev/null
+++ b/tests/safety_test.cpp
@@ -0,0 +1,306 @@
+// Late copies, one-way machines, instant restarts and long overload, without input or output.
+#include "service/budget.hpp"
+#include "support.hpp"
+
+namespace hatchwind {
+namespace {
+
+using core::Micros;
+using test::holds;
+
+constexpr Micros kDoubt{26'000'000};
+
+core::TaskReport running(const std::string& job, std::uint32_t task, std::uint64_t attempt) {
+    core::TaskReport t;
+    t.job = job;
+    t.task = task;
+    t.attempt = attempt;
+    t.state = core::TaskState::running;
+    return t;
+}
+
+// One machine's true history: what it would report at each tick.
+std::vector<core::WorkerReport> draw_history(const std::string& machine) {
+    std::vector<core::WorkerReport> out;
+    auto r = test::report(machine, "small", "a");
+    std::uint64_t attempt = 0;
+    const int n = *rc::gen::inRange(2, 25);
+    for (int i = 0; i < n; ++i) {
+        ++r.tick;
+        switch (*rc::gen::inRange(0, 6)) {
+            case 0: r.tasks.push_back(running("req-" + std::to_string(*rc::gen::inRange(0, 3)), 0, ++attempt)); break;
+            case 1:
+                if (!r.tasks.empty()) r.tasks.back().state = core::TaskState::exited;
+                break;
+            case 2:
+                if (!r.tasks.empty()) r.tasks.erase(r.tasks.begin());
+                break;
+            case 3:
+                ++r.session;
+                r.tasks.clear();
+                break;
+            case 4: ++r.token; break;
+            default: break;
+        }
+        out.push_back(r);
+    }
+    return out;
+}
+
+bool same_tasks(const core::WorkerReport& a, const core::WorkerReport& b) {
+    return a.session == b.session && a.tasks == b.tasks;
+}
+
+// Copies of reports come late, from seconds to well over a lease, and more than once.
+TEST(LateCopies, ChangeNothingThatANewerReportSaid) {
+    holds("copies in any order", [] {
+        const auto history = draw_history("n-1");
+        core::Picture p;
+        std::size_t newest = 0;
+        Micros now{1'000'000};
+        Micros changed{};
+        std::set<std::pair<std::string, std::uint64_t>> gone;
+        const int steps = *rc::gen::inRange(1, 60);
+        for (int s = 0; s < steps; ++s) {
+            now += Micros{*rc::gen::inRange(1, 90) * 1'000'000};
+            const auto i = *rc::gen::inRange<std::size_t>(0, history.size());
+            const bool news = p.apply(history[i], now, Micros{0}, false, kDoubt);
+            RC_ASSERT(news == (s == 0 || i > newest));
+            if (news) {
+                newest = i;
+                changed = now;
+            }
+            const auto* m = p.find("n-1");
+            RC_ASSERT(m != nullptr && same_tasks(m->last, history[newest]));
+            RC_ASSERT(m->changed == changed);  // a copy is no sign of life
+            RC_ASSERT(!m->confirmed);          // and however many come, they prove none
+            for (const auto& r : history) {
+                for (const auto& t : r.tasks) {
+                    const auto v = core::view_attempt(p, t.job, t.task, {t.attempt, "n-1", r.session});
+                    const auto key = std::pair{t.job, t.attempt};
+                    if (v.fate == core::Fate::gone) gone.insert(key);
+                    RC_ASSERT(!gone.contains(key) || v.fate == core::Fate::gone);
+                    const auto* listed = m->task(t.job, t.task);
+                    RC_ASSERT(v.fate != core::Fate::live || (listed != nullptr && listed->attempt == t.attempt));
+                }
+            }
+        }
+    });
+}
+
+TEST(LateCopies, AMachineTakesTasksOnlyOnceItHasAnswered) {
+    test::Cluster c;
+    c.teams["x"] = {"x", 8, 24, 0, 0};
+    c.ledger.put_job(test::job("req-1", "x", 1, 1), 1);
+    core::PlacementInput in;
+    in.ledger = &c.ledger;
+    in.picture = &c.picture;
+    in.teams = &c.teams;
+    in.objectives = &c.objectives;
+    in.own_teams = {"x"};
+    in.now = in.wall = c.now;
+    const auto starts = [&] {
+        core::Room room = c.room();
+        return core::place(in, room).starts.size();
+    };
+    // Nobody here knows this machine: its report may be a minute old, and the machine gone.
+    c.picture.apply(test::report("n-1", "small", "a"), c.now, c.now, false, kDoubt);
+    EXPECT_EQ(starts(), 0U);
+    auto copy = test::report("n-1", "small", "a");
+    copy.tick = 7;
+    c.picture.apply(copy, c.now, c.now, false, kDoubt);
+    EXPECT_EQ(starts(), 0U) << "two copies prove no more than one";
+    auto answer = copy;
+    answer.tick = 9;
+    c.picture.apply(answer, c.now, c.now, true, kDoubt);
+    EXPECT_EQ(starts(), 1U);
+    // Heard again after a long silence: it may be the last word of a machine that died then.
+    c.now += kDoubt * 2;
+    in.now = in.wall = c.now;
+    copy.tick = 11;
+    c.picture.apply(copy, c.now, c.now, false, kDoubt);
+    EXPECT_EQ(starts(), 0U);
+    c.picture.confirm("n-1");
+    EXPECT_EQ(starts(), 1U);
+}
+
+TEST(LateCopies, MemoryOfReleasedMachinesIsBoundedAndWhatIsForgottenIsNotUsed) {
+    core::Picture p;
+    const auto name = [](int i) { return "n-" + std::to_string(100000 + i); };
+    for (int i = 0; i < 20000; ++i) p.release(name(i));
+    EXPECT_TRUE(p.released(name(19999)));
+    EXPECT_FALSE(p.released(name(0))) << "kept for ever";
+    EXPECT_FALSE(p.apply(test::report(name(19999), "small", "a"), Micros{1}, Micros{1}, false, kDoubt));
+    EXPECT_EQ(p.find(name(19999)), nullptr);
+    EXPECT_TRUE(p.apply(test::report(name(0), "small", "a"), Micros{1}, Micros{1}, false, kDoubt));
+    EXPECT_FALSE(p.find(name(0))->confirmed);
+}
+
+// Another node hears whole reports and short ones; some are lost, some come again. Whatever it believes of a
+// machine's tasks at a tick must be what they were at that tick.
+TEST(Mesh, ShortReportsNeverHideAMissedChange) {
+    holds("lossy stream of whole and short reports", [] {
+        const auto history = draw_history("n-1");
+        core::Picture source;
+        core::Picture mirror;
+        Micros now{1'000'000};
+        std::map<std::pair<std::uint64_t, std::uint64_t>, core::WorkerReport> truth;
+        for (const auto& r : history) {
+            now += Micros{1'000'000};
+            truth[{r.session, r.tick}] = r;
+            source.apply(r, now, now);
+            const auto& m = *source.find("n-1");
+            const bool whole = m.content_tick == r.tick;
+            const int copies = *rc::gen::inRange(0, 3);
+            for (int k = 0; k < copies; ++k) {
+                if (whole) {
+                    mirror.apply(m.last, now, now);
+                } else {
+                    mirror.alive("n-1", r.session, r.tick, r.token, m.content_tick, now, now);
+                }
+            }
+            if (const auto* seen = mirror.find("n-1")) {
+                const auto& then = truth.at({seen->last.session, seen->last.tick});
+                RC_ASSERT(same_tasks(seen->last, then));
+            }
+        }
+    });
+}
+
+// Whoever asks later waits longer, however much is asked; and the limit holds.
+TEST(Budget, KeepsItsOrderAndItsRate) {
+    holds("arrivals at any times", [] {
+        service::Budget b{10, 5};
+        Micros now{1'000'000};
+        std::vector<Micros> turns;
+        const int n = *rc::gen::inRange(1, 80);
+        for (int i = 0; i < n; ++i) {
+            now += Micros{*rc::gen::inRange(0, 200'000)};
+            const Micros wait = b.wait(1, now);
+            b.spend(1, now);
+            turns.push_back(now + wait);
+        }
+        RC_ASSERT(std::is_sorted(turns.begin(), turns.end()));
+        for (std::size_t i = 0; i < turns.size(); ++i) {
+            for (std::size_t k = i + 1; k < turns.size(); ++k) {
+                const double span = static_cast<double>((turns[k] - turns[i]).count()) / 1e6;
+                RC_ASSERT(static_cast<double>(k - i) <= 10 * span + 5 + 1e-3);
+            }
+        }
+    });
+}
+
+// More is asked for than the machines can do, for as long as it lasts: production, small urgent tasks, wide
+// ones, gangs, and jobs that have missed what was wanted. Each begins within a bound.
+TEST(Queue, UnderLastingOverloadEveryJobBeginsWithinABound) {
+    holds("begins within four minutes", [] {
+        test::Cluster c;
+        c.teams["x"] = {"x", 8, 400, 0, 0};
+        c.teams["y"] = {"y", 8, 400, 0, 0};
+        c.objectives = {{"finished", "c", 40, 0.9, 1}};
+        std::map<std::string, core::WorkerReport> reports;
+        for (int i = 0; i < 4; ++i) {
+            const std::string id = "n-" + std::to_string(100 + i);
+            reports[id] = test::report(id, i == 0 ? "big" : "small", i % 2 == 0 ? "a" : "b");
+        }
+        std::map<std::string, Micros> ends;  // "job/task" -> when it ends
+        std::map<std::string, Micros> accepted;
+        core::Stamp stamp = 0;
+        int next = 0;
+        std::map<core::TaskRef, core::Reservation> reservations;
+        const Micros start = c.now;
+        // Four minutes, and what the longest of the tasks then running takes.
+        const Micros bound{240'000'000};
+        for (int second = 0; second < 420; ++second) {
+            c.now += Micros{1'000'000};
+            // About twice what the 28 CPUs can do.
+            if (second % 3 == 0 && second < 300) {
+                auto j = test::job("req-" + std::to_string(1000 + next++), *rc::gen::element<std::string>("x", "y"), 1, 1);
+                const int kind = *rc::gen::inRange(0, 10);
+                j.accepted = c.now;
+                j.estimate_s = 10;
+                j.priority = static_cast<core::Priority>(*rc::gen::inRange(0, 3));
+                if (kind == 0) {  // as wide as the largest machine
+                    j.need = {16, 0, 16};
+                    j.priority = core::Priority::best_effort;
+                } else if (kind == 1) {
+                    j.kind = core::JobKind::gang;
+                    j.need = {4, 0, 4};
+                    j.tasks = 3;
+                } else {
+                    j.need = {*rc::gen::element(1.0, 2.0, 4.0), 0, 1};
+                    j.tasks = static_cast<std::uint32_t>(*rc::gen::inRange(4, 20));
+                }
+                accepted[j.id] = c.now;
+                c.ledger.put_job(j, ++stamp);
+            }
+            // Ends.
+            std::map<std::pair<std::string, std::uint32_t>, core::Chunk> records;
+            const auto record = [&](const std::string& job, std::uint32_t chunk) -> core::Chunk& {
+                const auto* e = c.ledger.find(job);
+                const auto old = e->chunks.find(chunk);
+                return records.try_emplace({job, chunk}, old == e->chunks.end() ? core::Chunk{} : old->second).first->second;
+            };
+            for (auto& [id, r] : reports) {
+                std::erase_if(r.tasks, [&](const core::TaskReport& t) {
+                    const auto end = ends.find(t.job + "/" + std::to_string(t.task));
+                    if (end == ends.end() || end->second > c.now) return false;
+                    ends.erase(end);
+                    auto& chunk = record(t.job, 0);
+                    chunk.open.erase(t.task);
+                    chunk.done.insert(t.task);
+                    return true;
+                });
+            }
+            const auto commit = [&] {
+                for (auto& [key, chunk] : records) {
+                    chunk.stamp = ++stamp;
+                    c.ledger.put_chunk(key.first, key.second, chunk);
+                    if (c.ledger.find(key.first)->finished()) c.ledger.erase_job(key.first, ++stamp);
+                }
+                records.clear();
+            };
+            commit();
+            for (auto& [id, r] : reports) {
+                ++r.tick;
+                c.picture.apply(r, c.now, c.now);
+            }
+            core::PlacementInput in;
+            in.ledger = &c.ledger;
+            in.picture = &c.picture;
+            in.teams = &c.teams;
+            in.objectives = &c.objectives;
+            in.own_teams = {"x", "y"};
+            in.now = in.wall = c.now;
+            in.reservations = reservations;
+            in.most_stops = 0;
+            core::Room room = c.room();
+            auto out = core::place(in, room);
+            reservations = std::move(out.reservations);
+            for (const auto& s : out.starts) {
+                auto& chunk = record(s.job, 0);
+                chunk.open[s.task] = s.attempt;
+                chunk.last_attempt = std::max(chunk.last_attempt, s.attempt.number);
+                reports[s.attempt.machine].tasks.push_back(running(s.job, s.task, s.attempt.number));
+                ends[s.job + "/" + std::to_string(s.task)] = c.now + Micros{*rc::gen::inRange(5, 20) * 1'000'000};
+                accepted.erase(s.job);
+            }
+            commit();
+            for (const auto& [id, since] : accepted) {
+                if (c.now - since > bound) {
+                    const auto& j = c.ledger.find(id)->job;
+                    std::string why;
+                    for (const auto& [ref, r] : reservations) why += " hold " + ref.job + "/" + std::to_string(ref.task) + "@" + r.machine;
+                    const core::Room now_free = c.room();
+                    for (const auto& m : now_free.machines()) why += " free " + m.id + "=" + std::to_string(m.free.cpus);
+                    RC_FAIL(id + " has not begun: " + std::to_string(j.need.cpus) + " CPUs x " + std::to_string(j.tasks) +
+                            (j.kind == core::JobKind::gang ? " gang" : "") + " at " + std::to_string(second) + why);
+                }
+            }
+        }
+        RC_TAG(c.now - start > bound);
+    });
+}
+
+}  // namespace
+}  // namespace hatchwind
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -3,6 +3,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <random>
+
 #include "stand_ins.hpp"
 #include "support.hpp"
 
@@ -15,7 +17,8 @@
 
 class Site {
   public:
-    explicit Site(int nodes) : state(loop), cloud(loop, [this](std::string id, std::string zone) {
+    // The node that is behind relays sees store and peers only through them; see cut_off().
+    explicit Site(int nodes, int relayed = -1) : state(loop), cloud(loop, [this](std::string id, std::string zone) {
         return std::make_unique<test::WorkerStandIn>(loop, world, std::move(id), std::move(zone), addresses_, labels_);
     }) {
         spdlog::set_level(std::getenv("TEST_LOG") != nullptr ? spdlog::level::debug : spdlog::level::off);
@@ -24,6 +27,11 @@
             addresses_.push_back(test::local(test::free_port()));
             mesh_.push_back(test::local(test::free_port()));
         }
+        if (relayed >= 0) {
+            relayed_ = static_cast<std::size_t>(relayed);
+            state_relay_ = std::make_unique<test::Relay>(loop, state.address);
+            for (int i = 0; i < nodes; ++i) relays_.push_back(std::make_unique<test::Relay>(loop, mesh_[static_cast<std::size_t>(i)]));
+        }
         services_.resize(static_cast<std::size_t>(nodes));
         for (int i = 0; i < nodes; ++i) start(static_cast<std::size_t>(i));
     }
@@ -34,10 +42,10 @@
         s.api = addresses_[i];
         s.mesh = mesh_[i];
         for (std::size_t k = 0; k < labels_.size(); ++k) {
-            if (k != i) s.peers.push_back({labels_[k], "a", mesh_[k]});
+            if (k != i) s.peers.push_back({labels_[k], "a", i == relayed_ || k == relayed_ ? relays_[k]->address : mesh_[k]});
         }
         s.cloud = cloud.address;
-        s.state = state.address;
+        s.state = i == relayed_ ? state_relay_->address : state.address;
         for (const char* t : {"x", "y", "z"}) s.teams[t] = {t, 8, 16, 0, 0};
         s.report_s = 0.1;
         s.lease_s = world.lease_s;
@@ -55,11 +63,18 @@
         t.grant_life = Micros{1'200'000};
         t.renew_every = Micros{250'000};
         t.promise_life = Micros{700'000};
-        t.silent_release = Micros{60'000'000};  // leases, not releases, end what is silent here
+        t.silent_release = silent_release;
         services_[i] = std::make_unique<service::Service>(loop, s, t);
         services_[i]->start();
     }
     void kill(std::size_t i) { services_[i].reset(); }
+    // From the store and the other nodes, but not from its workers.
+    void cut_off(bool on) {
+        state_relay_->cut = on;
+        for (auto& r : relays_) r->cut = on;
+    }
+    const std::vector<std::string>& labels() const { return labels_; }
+    bool up(std::size_t i) const { return services_[i] != nullptr; }
     io::Address mesh_address(std::size_t i) const { return mesh_[i]; }
 
     Task<std::pair<int, Json>> call(std::size_t node, std::string method, std::string target, Json body) {
@@ -131,6 +146,7 @@
         cloud.workers.clear();
     }
 
+    Micros silent_release{60'000'000};  // leases, not releases, end what is silent here
     io::Loop loop;
     test::WorkerStandIn::World world;
     test::StateStandIn state;
@@ -141,6 +157,9 @@
     std::vector<std::string> labels_;
     std::vector<io::Address> addresses_;
     std::vector<io::Address> mesh_;
+    std::size_t relayed_ = SIZE_MAX;
+    std::unique_ptr<test::Relay> state_relay_;
+    std::vector<std::unique_ptr<test::Relay>> relays_;
     std::vector<std::unique_ptr<service::Service>> services_;
 };
 
@@ -415,5 +434,337 @@
     });
 }
 
+// A machine whose reports arrive, but that hears nothing: its lease ends on its own side, its session rises,
+// its reports go on. Its tasks run elsewhere, it gets nothing new, and it is given back.
+TEST(Service, AOneWayMachineLosesItsTasksGetsNoneAndIsGivenBack) {
+    Site site{2};
+    site.kill(0);
+    site.kill(1);
+    site.silent_release = Micros{4'000'000};
+    site.start(0);
+    site.start(1);
+    site.world.endless = {"req-1"};
+    site.play([](Site& s) -> Task<void> {
+        {
+            auto step = s.submit("req-1", "x", "service", 2);
+            co_await std::move(step);
+        }
+        {
+            const std::function<bool()> reached = [&] { return s.world.running.size() == 2; };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        const std::string machine = s.world.running["req-1/0"];
+        const auto session = s.cloud.workers.at(machine)->session();
+        s.cloud.workers.at(machine)->deaf = true;
+        {
+            // Either its session has risen, or it was released before that.
+            const std::function<bool()> reached = [&] {
+                const auto it = s.cloud.workers.find(machine);
+                return it == s.cloud.workers.end() || it->second->session() > session;
+            };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        {
+            const std::function<bool()> reached = [&] {
+                return s.world.running.contains("req-1/0") && s.world.running.contains("req-1/1") &&
+                       s.world.running["req-1/0"] != machine && s.world.running["req-1/1"] != machine;
+            };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        {
+            const std::function<bool()> reached = [&] { return !s.cloud.workers.contains(machine); };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+    });
+}
+
+// Copies of reports reach a node that has just started, and one that leads anew.
+TEST(Service, LateCopiesOfReportsBringBackNothing) {
+    Site site{2};
+    site.world.endless = {"req-1"};
+    site.play([](Site& s) -> Task<void> {
+        {
+            auto step = s.submit("req-1", "x", "service", 1);
+            co_await std::move(step);
+        }
+        {
+            const std::function<bool()> reached = [&] { return s.world.running.size() == 1; };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        const std::string machine = s.world.running["req-1/0"];
+        const Json early = s.cloud.workers.at(machine)->last_report;
+        // Of a machine that was given back long ago and that no node remembers, with a task said to be done.
+        Json dead = early;
+        dead["perch"] = "n-000000";
+        dead["address"] = "127.0.0.1:1";
+        Json claims = early;
+        claims["tick"] = 0;
+        claims["legs"] = Json::array({Json{{"leg", "req-1/0"}, {"try", 1}, {"status", "exited"}, {"cause", "done"}}});
+        s.kill(0);
+        s.kill(1);
+        s.start(0);
+        s.start(1);
+        bool used = false;
+        s.state.on_commit = [&used](const Json& t) { used = used || t.dump().find("n-000000") != std::string::npos; };
+        for (int round = 0; round < 20; ++round) {
+            for (const std::size_t node : {0U, 1U}) {
+                dead["tick"] = 1000 + round;
+                for (const Json& copy : {dead, claims, early}) {
+                    auto call = s.call(node, "POST", "/hello", copy);
+                    co_await std::move(call);
+                }
+            }
+            if (round == 5) {
+                auto step = s.submit("req-2", "y", "sweep", 12);
+                co_await std::move(step);
+            }
+            co_await s.loop.sleep(Micros{50'000});
+        }
+        {
+            auto step = s.until_status("req-2", "done");
+            co_await std::move(step);
+        }
+        EXPECT_FALSE(used) << "a machine that only late copies speak of was used";
+        EXPECT_EQ(s.world.running["req-1/0"], machine);
+        auto step = s.until_status("req-1", "running");
+        co_await std::move(step);
+        s.state.on_commit = nullptr;
+    });
+}
+
+// A start that got no answer, was repeated and carried out, may arrive once more: after a reap it would start
+// the task again.
+TEST(Service, ACopyOfAStartThatArrivesAfterTheEndStartsNothing) {
+    Site site{1};
+    site.play([](Site& s) -> Task<void> {
+        {
+            auto step = s.submit("req-1", "x", "sweep", 1);
+            co_await std::move(step);
+        }
+        {
+            auto step = s.until_status("req-1", "done");
+            co_await std::move(step);
+        }
+        for (auto& [id, w] : s.cloud.workers) w->hold_orders = true;
+        {
+            auto step = s.submit("req-2", "x", "sweep", 2);
+            co_await std::move(step);
+        }
+        const auto held = [&s] {
+            std::size_t n = 0;
+            for (const auto& [id, w] : s.cloud.workers) n += w->held.size();
+            return n;
+        };
+        {
+            const std::function<bool()> reached = [&] { return held() > 0; };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        co_await s.loop.sleep(Micros{2'800'000});  // the node gives up on that copy, and sends another
+        for (auto& [id, w] : s.cloud.workers) w->hold_orders = false;
+        {
+            auto step = s.until_status("req-2", "done");
+            co_await std::move(step);
+        }
+        co_await s.loop.sleep(Micros{2'500'000});  // reaps and sweeps have had their time
+        for (auto& [id, w] : s.cloud.workers) {
+            for (const auto& copy : w->held) (void)w->late_orders(copy);
+        }
+        co_await s.loop.sleep(Micros{600'000});
+        EXPECT_GT(held(), 0U);
+        EXPECT_EQ(s.world.completed["req-2/0"], 1);
+        EXPECT_EQ(s.world.completed["req-2/1"], 1);
+    });
+}
+
+// The node hears workers only. It falls silent when its mandate ends, its teams get another owner, its workers
+// move on within their leases, and it comes back without help.
+TEST(Service, ANodeWithNothingButItsWorkersFallsSilentAndComesBack) {
+    Site site{3, 0};
+    site.world.lease_s = 6;
+    site.kill(1);  // the relayed node leads
+    site.kill(2);
+    site.world.endless = {"req-1", "req-2", "req-3"};
+    site.play([](Site& s) -> Task<void> {
+        {
+            const std::function<bool()> reached = [&] { return s.leader() == "n0"; };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        s.start(1);
+        s.start(2);
+        for (const auto& [id, team] : std::vector<std::pair<std::string, std::string>>{{"req-1", "x"}, {"req-2", "y"}, {"req-3", "z"}}) {
+            auto step = s.submit(id, team, "service", 2);
+            co_await std::move(step);
+        }
+        {
+            const std::function<bool()> reached = [&] { return s.world.running.size() == 6; };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        const auto homes = s.world.running;
+        std::map<std::string, std::uint64_t> sessions;
+        for (const auto& [id, w] : s.cloud.workers) sessions[id] = w->session();
+        s.cut_off(true);
+        {
+            const std::function<bool()> reached = [&] { return s.leader() != "n0"; };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        // By then it must be silent: a worker that comes to it is sent away.
+        auto hello = s.call(0, "POST", "/hello", s.cloud.workers.begin()->second->last_report);
+        const auto answer = co_await std::move(hello);
+        EXPECT_EQ(answer.first, 421);
+        // Longer than a lease: whoever kept its worker had to hear from an entitled node.
+        co_await s.loop.sleep(Micros{8'000'000});
+        EXPECT_EQ(s.world.running, homes);
+        for (const auto& [id, n] : sessions) EXPECT_EQ(s.cloud.workers.at(id)->session(), n) << id;
+        {
+            auto step = s.submit("req-4", "x", "sweep", 2);
+            co_await std::move(step);
+        }
+        {
+            auto step = s.until_status("req-4", "done");
+            co_await std::move(step);
+        }
+        s.cut_off(false);
+        {
+            const std::function<bool()> reached = [&] {
+                const auto& members = s.state.items.at("h/epoch").value["members"];
+                return members.size() == 3;
+            };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        EXPECT_EQ(s.world.running, homes);
+    });
+}
+
+// Nodes end and are back at once, one, some or all of them, also while an epoch is being written.
+TEST(Service, NodesThatAreBackAtOnceLoseNothingAndForgetNothing) {
+    Site site{3};
+    site.world.endless = {"req-1"};
+    site.world.run_time = Micros{700'000};
+    site.play([](Site& s) -> Task<void> {
+        {
+            auto step = s.submit("req-1", "x", "service", 3);
+            co_await std::move(step);
+        }
+        std::minstd_rand random{7};
+        for (int round = 0; round < 12; ++round) {
+            {
+                auto step = s.submit("req-" + std::to_string(10 + round), round % 2 == 0 ? "y" : "z", "sweep", 4);
+                co_await std::move(step);
+            }
+            const auto leader = s.index(s.leader());
+            const bool all = round % 4 == 3;
+            for (std::size_t i = 0; i < 3; ++i) {
+                if (!all && i != leader && random() % 3 != 0) continue;
+                s.kill(i);
+                co_await s.loop.sleep(Micros{static_cast<std::int64_t>(random() % 60'000)});
+                s.start(i);
+            }
+            // Grants of the lives that ended run out now, and elections are under way.
+            co_await s.loop.sleep(Micros{static_cast<std::int64_t>(random() % 1'500'000)});
+        }
+        for (int round = 0; round < 12; ++round) {
+            auto step = s.until_status("req-" + std::to_string(10 + round), "done");
+            co_await std::move(step);
+        }
+        auto step = s.until_status("req-1", "running");
+        co_await std::move(step);
+    });
+}
+
+// The first life's write of its own key comes again, late: with it the key would belong to a grant that
+// nobody renews, and vanish under a node that acts.
+TEST(Service, ALateWriteOfAnEarlierLifesKeyChangesNothing) {
+    Site site{1};
+    site.play([](Site& s) -> Task<void> {
+        std::vector<Json> puts;
+        s.state.on_commit = [&puts](const Json& t) {
+            for (const auto& w : t["writes"]) {
+                if (w.value("write", "") == "h/node/n0") puts.push_back(t);
+            }
+        };
+        s.kill(0);
+        s.start(0);
+        {
+            const std::function<bool()> reached = [&] { return puts.size() == 1; };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        co_await s.loop.sleep(Micros{100'000});
+        s.kill(0);
+        s.start(0);
+        {
+            const std::function<bool()> reached = [&] { return puts.size() == 2; };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        co_await s.loop.sleep(Micros{50'000});
+        const auto grant = s.state.items.at("h/node/n0").value["grant"];
+        s.state.on_commit = nullptr;
+        EXPECT_EQ(s.state.late_commit(puts.front()), 409);
+        EXPECT_EQ(s.state.items.at("h/node/n0").value["grant"], grant);
+        co_await s.loop.sleep(Micros{2'000'000});  // the first life's grant is long over
+        EXPECT_EQ(s.state.items.at("h/node/n0").value["grant"], grant);
+    });
+}
+
+// Thousands of jobs, and a watch that is too old: every node reads the store whole again, and answers.
+TEST(Service, EveryJobIsKnownOnEveryNodeAfterAReloadOfALargeStore) {
+    Site site{2};
+    site.play([](Site& s) -> Task<void> {
+        {
+            auto step = s.submit("req-1", "x", "sweep", 1);
+            co_await std::move(step);
+        }
+        {
+            auto step = s.until_status("req-1", "done");
+            co_await std::move(step);
+        }
+        constexpr int jobs = 2500;
+        s.kill(0);
+        s.kill(1);
+        {
+            core::Job j = test::job("", "x", 100'000, 1);
+            for (int i = 0; i < jobs; ++i) {
+                j.id = "req-" + std::to_string(1000 + i);
+                j.cancelled = true;  // known, and nothing to place
+                j.cancelled_at = io::wall_now();
+                s.state.items["h/job/" + j.id] = {wire::job_record(j), ++s.state.revision, 0};
+            }
+        }
+        s.start(0);
+        s.start(1);
+        for (const int round : {0, 1}) {
+            if (round == 1) s.state.too_old = true;
+            for (const std::size_t node : {0U, 1U}) {
+                for (const int i : {0, jobs / 2, jobs - 1}) {
+                    int status = 0;
+                    const Micros give_up = io::steady_now() + Micros{20'000'000};
+                    Json answer;
+                    while (status != 200 && io::steady_now() < give_up) {
+                        auto call = s.call(node, "GET", "/api/jobs/req-" + std::to_string(1000 + i), nullptr);
+                        auto r = co_await std::move(call);
+                        EXPECT_NE(r.first, 404);
+                        status = r.first;
+                        answer = r.second;
+                        if (status != 200) co_await s.loop.sleep(Micros{50'000});
+                    }
+                    EXPECT_EQ(status, 200);
+                    EXPECT_EQ(answer["status"], "cancelled");
+                }
+            }
+        }
+    });
+}
+
 }  // namespace
 }  // namespace hatchwind
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -45,6 +45,51 @@
     return target.substr(from, target.find('&', from) - from);
 }
 
+// Passes connections on to somebody else until it is cut: then nothing more arrives on either side.
+class Relay {
+  public:
+    Relay(io::Loop& loop, io::Address to) : address(local(free_port())), loop_(loop), to_(to), listener_(loop, address) {
+        scope_.spawn(serve());
+    }
+    const io::Address address;
+    bool cut = false;
+
+  private:
+    io::Task<void> serve() {
+        while (true) {
+            io::Socket socket = co_await listener_.accept();
+            if (!cut) scope_.spawn(join(std::move(socket)));
+        }
+    }
+    io::Task<void> join(io::Socket near) {
+        const io::Micros soon = io::steady_now() + io::Micros{1'000'000};
+        auto task = io::connect(loop_, to_, soon);
+        auto far = co_await std::move(task);
+        if (!far) co_return;
+        auto a = std::make_shared<io::Socket>(std::move(near));
+        auto b = std::make_shared<io::Socket>(std::move(*far));
+        scope_.spawn(pump(a, b));
+        auto back = pump(b, a);
+        co_await std::move(back);
+    }
+    io::Task<void> pump(std::shared_ptr<io::Socket> from, std::shared_ptr<io::Socket> to) {
+        std::array<char, 16384> buffer;
+        while (true) {
+            const io::Micros long_after = io::steady_now() + io::Micros{60'000'000};
+            const auto n = co_await from->read(buffer.data(), buffer.size(), long_after);
+            if (!n || *n == 0 || cut) co_return;
+            const std::string_view data{buffer.data(), *n};
+            auto sent = to->write(data, long_after);
+            const bool ok = co_await std::move(sent);
+            if (!ok) co_return;
+        }
+    }
+    io::Loop& loop_;
+    io::Address to_;
+    io::Listener listener_;
+    io::Scope scope_;
+};
+
 class StateStandIn {
   public:
     explicit StateStandIn(io::Loop& loop)
@@ -63,6 +108,12 @@
     std::map<std::string, Item> items;
     std::uint64_t revision = 0;
     std::size_t most_writes = 0;
+    bool too_old = false;  // the next watch gets 410
+    std::size_t page = 1000;
+    std::function<void(const Json&)> on_commit;  // sees every transaction before it is carried out
+
+    // A copy of an old request arrives.
+    int late_commit(const Json& t) { return commit(t).status; }
 
   private:
     struct Grant {
@@ -99,6 +150,7 @@
     }
     io::Task<io::HttpResponse> handle(io::HttpRequest q) {
         if (q.target.starts_with("/watch")) {
+            if (std::exchange(too_old, false)) co_return reply(410);
             const auto after = std::stoull(query(q.target, "after"));
             const auto prefix = query(q.target, "starts");
             const auto end = io::steady_now() + io::Micros{std::stoll(query(q.target, "blockMs")) * 1000};
@@ -117,7 +169,9 @@
         if (q.target.starts_with("/store?")) {
             Json pairs = Json::array();
             for (const auto& [k, i] : items) {
-                if (k.starts_with(query(q.target, "starts")) && k > query(q.target, "after")) pairs.push_back({{"path", k}, {"v", i.value}, {"stamp", i.stamp}});
+                if (!k.starts_with(query(q.target, "starts")) || k <= query(q.target, "after")) continue;
+                if (pairs.size() == page) co_return reply(200, {{"pairs", pairs}, {"hasNext", true}, {"ledger", revision}});
+                pairs.push_back({{"path", k}, {"v", i.value}, {"stamp", i.stamp}});
             }
             co_return reply(200, {{"pairs", pairs}, {"hasNext", false}, {"ledger", revision}});
         }
@@ -141,6 +195,7 @@
         co_return reply(400);
     }
     io::HttpResponse commit(const Json& t) {
+        if (on_commit) on_commit(t);
         Json failed = Json::array();
         for (const auto& c : t["when"]) {
             const auto it = items.find(c["path"]);
@@ -201,6 +256,17 @@
     const std::string& zone() const { return zone_; }
     std::uint64_t token() const { return token_; }
     bool hung = false;
+    bool deaf = false;         // its reports arrive, but neither answers nor orders reach it
+    bool hold_orders = false;  // requests are kept, and get no answer
+    std::vector<Json> held;
+    Json last_report;
+    std::uint64_t session() const { return session_; }
+    // A copy of orders arrives late.
+    bool late_orders(const Json& b) {
+        if (b["baton"].get<std::uint64_t>() < token_ || b["stint"] != session_) return false;
+        execute(b["calls"]);
+        return true;
+    }
 
   private:
     struct TaskState {
@@ -244,7 +310,12 @@
         }
     }
     io::Task<io::HttpResponse> handle(io::HttpRequest q) {
-        while (hung) co_await loop_.sleep(io::Micros{20'000});
+        while (hung || deaf) co_await loop_.sleep(io::Micros{20'000});
+        if (hold_orders && q.target == "/orders") {
+            held.push_back(*wire::decode(q.body));
+            while (hold_orders) co_await loop_.sleep(io::Micros{20'000});
+            co_await loop_.sleep(io::Micros{3'000'000});  // beyond the caller's patience
+        }
         if (q.target == "/status") co_return reply(200, describe());
         const auto b = wire::decode(q.body);
         if (!b || !b->contains("baton") || !b->contains("stint")) co_return reply(400);
@@ -266,8 +337,10 @@
                 ++session_;
                 began_ = sent;
             }
-            auto task = client_.send(nodes_[at % nodes_.size()], "POST", "/hello", wire::encode(describe()), sent + io::Micros{700'000});
-            const auto r = co_await std::move(task);
+            last_report = describe();
+            auto task = client_.send(nodes_[at % nodes_.size()], "POST", "/hello", wire::encode(last_report), sent + io::Micros{700'000});
+            auto r = co_await std::move(task);
+            if (deaf) r.status = 0;
             const auto v = r.status == 200 || r.status == 421 ? wire::decode(r.body) : std::nullopt;
             if (r.status == 200 && v && (*v)["baton"].get<std::uint64_t>() >= token_) {
                 token_ = (*v)["baton"].get<std::uint64_t>();
