Starts and ends of many jobs share a page; watch answers are bounded

A page of up to 5 KiB holds the open attempts of several jobs of a team. Answers beyond a part of the memory now lead to a reload in pages, during which the old copy serves.

--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -43,12 +43,21 @@
     if (!fresh && e.stamp >= stamp) return;
     e.job = std::move(job);
     e.stamp = stamp;
+    // The store is read in pieces: a page may be newer than the job's record, and come before it. Without what it
+    // says the job would look as if nothing of it had started.
+    for (auto o = orphans_.lower_bound({e.job.id, 0}); fresh && o != orphans_.end() && o->first.first == e.job.id;) {
+        const std::uint32_t index = o->first.second;
+        Chunk chunk = std::move(o->second);
+        o = orphans_.erase(o);
+        put_chunk(e.job.id, index, std::move(chunk));
+    }
 }
 
 void Ledger::put_chunk(const std::string& job, std::uint32_t index, Chunk chunk) {
     const auto it = jobs_.find(job);
     if (it == jobs_.end()) {
-        orphans_[{job, index}] = chunk.stamp;
+        Chunk& kept = orphans_[{job, index}];
+        if (kept.stamp < chunk.stamp) kept = std::move(chunk);
         return;
     }
     JobEntry& e = it->second;
@@ -60,18 +69,41 @@
     mine = std::move(chunk);
 }
 
+void Ledger::put_page(const PageKey& key, Stamp stamp, std::map<ChunkKey, Chunk> chunks) {
+    Page& page = pages_[key];
+    if (page.stamp >= stamp) return;
+    for (const auto& [job, index] : page.chunks) {
+        if (!chunks.contains({job, index})) erase_chunk(job, index, stamp);
+    }
+    page.stamp = stamp;
+    page.chunks.clear();
+    for (auto& [chunk, c] : chunks) {
+        page.chunks.insert(chunk);
+        c.stamp = stamp;
+        c.page = key.second;
+        put_chunk(chunk.first, chunk.second, std::move(c));
+    }
+}
+
+void Ledger::erase_page(const PageKey& key, Stamp at) {
+    const auto it = pages_.find(key);
+    if (it == pages_.end() || it->second.stamp >= at) return;
+    for (const auto& [job, index] : it->second.chunks) erase_chunk(job, index, at);
+    pages_.erase(it);
+}
+
 void Ledger::erase_job(const std::string& job, Stamp at) {
     const auto it = jobs_.find(job);
     if (it == jobs_.end() || it->second.stamp >= at) return;
-    for (const auto& [index, c] : it->second.chunks) {
+    for (auto& [index, c] : it->second.chunks) {
         account(it->second, c, {});
-        if (c.stamp != 0) orphans_[{job, index}] = c.stamp;
+        if (c.stamp != 0) orphans_[{job, index}] = std::move(c);
     }
     jobs_.erase(it);
 }
 
 void Ledger::erase_chunk(const std::string& job, std::uint32_t index, Stamp at) {
-    if (const auto o = orphans_.find({job, index}); o != orphans_.end() && o->second < at) orphans_.erase(o);
+    if (const auto o = orphans_.find({job, index}); o != orphans_.end() && o->second.stamp < at) orphans_.erase(o);
     const auto it = jobs_.find(job);
     if (it == jobs_.end()) return;
     const auto c = it->second.chunks.find(index);
@@ -87,6 +119,7 @@
     use_.clear();
     by_machine_.clear();
     orphans_.clear();
+    pages_.clear();
 }
 
 const JobEntry* Ledger::find(const std::string& job) const {
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -15,7 +15,7 @@
 
 namespace hatchwind::core {
 
-// Tasks of one store record. Small enough for the value limit whatever they do.
+// Tasks that are recorded together. Small enough for the value limit whatever they do.
 constexpr std::uint32_t kChunkTasks = 64;
 
 struct Attempt {
@@ -30,7 +30,17 @@
     RangeSet done;
     std::map<std::uint32_t, Attempt> open;  // by task number
     std::uint64_t last_attempt = 0;
+    std::uint32_t page = 0;  // of its team that holds it; 0: none yet
 };
+using ChunkKey = std::pair<std::string, std::uint32_t>;  // job, number of the chunk
+
+// One record of the store: chunks of many jobs of one team. The store counts writes, not what they say, so what
+// starts and ends at the same time is written together.
+struct Page {
+    Stamp stamp = 0;
+    std::set<ChunkKey> chunks;  // some may be of jobs that are over
+};
+using PageKey = std::pair<std::string, std::uint32_t>;  // team, number from 1
 
 struct JobEntry {
     Job job;
@@ -65,6 +75,10 @@
     // Each takes a record as the store has it; older stamps than the known one change nothing.
     void put_job(Job job, Stamp stamp);
     void put_chunk(const std::string& job, std::uint32_t index, Chunk chunk);
+    // A page as the store has it: what it does not have any more is gone.
+    void put_page(const PageKey& key, Stamp stamp, std::map<ChunkKey, Chunk> chunks);
+    void erase_page(const PageKey& key, Stamp at);
+    const std::map<PageKey, Page>& pages() const { return pages_; }
     void erase_job(const std::string& job, Stamp at);
     void erase_chunk(const std::string& job, std::uint32_t index, Stamp at);
     void clear();
@@ -76,8 +90,8 @@
     Amount team_use(const std::string& team) const;
     const HeldTasks& on_machine(const std::string& machine) const;
     const std::unordered_map<std::string, HeldTasks>& by_machine() const { return by_machine_; }
-    // Chunk records whose job is over: left by a node that ended between its commits.
-    const std::map<std::pair<std::string, std::uint32_t>, Stamp>& orphans() const { return orphans_; }
+    // Chunks whose job is over: they leave the store with the next write of their page.
+    const std::map<ChunkKey, Chunk>& orphans() const { return orphans_; }
 
   private:
     // Moves the indexes from one state of a record to the next, by what differs: a record of 64 attempts is
@@ -87,7 +101,8 @@
     Jobs jobs_;
     std::unordered_map<std::string, Amount> use_;
     std::unordered_map<std::string, HeldTasks> by_machine_;
-    std::map<std::pair<std::string, std::uint32_t>, Stamp> orphans_;
+    std::map<ChunkKey, Chunk> orphans_;
+    std::map<PageKey, Page> pages_;
 };
 
 // Tasks of a job that have no open attempt and are not done, lowest first, at most `most`.
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -107,7 +107,10 @@
             if (r.waiting) hold(r, 1.0);
         }
         for (const JobEntry* e : queue) {
-            if (full()) break;
+            if (full()) {
+                ++out_.deferred;
+                continue;
+            }
             if (backed_off(*e)) continue;
             if (e->job.kind == JobKind::gang) {
                 if (!begun_.contains(e)) place_gang(*e);
--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -59,6 +59,7 @@
     std::vector<Start> starts;
     std::vector<Stop> stops;
     std::map<TaskRef, Reservation> reservations;
+    std::size_t deferred = 0;  // jobs that were not looked at, since the pass had its fill
 };
 
 // The time of day by which the job's users want it: the earliest of its deadline and its class's objectives
--- a/src/io/http.cpp
+++ b/src/io/http.cpp
@@ -250,7 +250,10 @@
         if (*n == 0 && !m->complete) co_return reply;
     }
     // An answer beyond the limit is malformed: treated as no answer.
-    if (m->too_large) co_return reply;
+    if (m->too_large) {
+        reply.too_large = true;
+        co_return reply;
+    }
     reply.status = static_cast<int>(m->parser.status_code);
     reply.body = std::move(m->body);
     reply.retry_after_s = m->retry_after_s;
--- a/src/io/http.hpp
+++ b/src/io/http.hpp
@@ -56,6 +56,7 @@
     int status = 0;  // 0: no answer, and the request may have been carried out all the same
     std::string body;
     int retry_after_s = 0;
+    bool too_large = false;   // with status 0: it was answered, beyond the limit
     bool never_sent = false;  // with status 0: the other side cannot have seen it
 };
 
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace hatchwind::service {
 
 using core::ExitCause;
@@ -15,7 +17,11 @@
 constexpr Micros kResendStart{1'200'000};
 constexpr Micros kResendStop{1'000'000};
 constexpr Micros kEndsWait{4'000'000};
-constexpr std::size_t kTxnBytes = 40 * 1024;  // of CBOR; the limit counts the longer JSON form
+constexpr Micros kEmptyPages{3'000'000};
+constexpr double kChunksPerPage = 4;             // about so many are written together
+// A page is written and read whole on every node for each change: larger ones save writes and cost time.
+constexpr std::size_t kPageBytes = 5 * 1024;
+constexpr std::size_t kTxnBytes = 56 * 1024;  // of the JSON form
 }  // namespace
 
 Owner::Record& Owner::stage(Staged& s, const core::JobEntry& e, std::uint32_t chunk) {
@@ -161,7 +167,7 @@
     }
 }
 
-void Owner::place(Staged& s, std::size_t records) {
+std::size_t Owner::place(Staged& s, std::size_t records) {
     core::PlacementInput in;
     in.most_records = records;
     // A pass starts what one transaction records; more would hold up what comes after it.
@@ -180,7 +186,7 @@
     for (const auto& [id, e] : n_.ledger.jobs()) {
         any = any || (e.unstarted() > 0 && !e.job.cancelled && in.own_teams.contains(e.job.team));
     }
-    if (!any) return;
+    if (!any) return 0;
     for (const auto& [id, t] : job_trouble_) in.job_backoff[id] = t.until;
     in.reservations = reservations_;
     std::erase_if(stopping_, [&](const auto& s) { return s.second <= in.now; });
@@ -221,14 +227,15 @@
         workers_.order(st.attempt.machine, st.attempt.session,
                        {core::OrderKind::stop, st.job, st.task, st.attempt.number, st.grace_s});
     }
+    return result.deferred;
 }
 
 std::vector<Owner::Unit> Owner::units(Staged& s) {
     std::vector<Unit> out;
     const Micros now = steady_now();
-    const std::size_t most = n_.settings.txn_ops;
-    // Finished jobs: the end state replaces the job's records in one step. Chunk records beyond the limit
-    // are left as orphans, which the sweep removes.
+    std::set<std::string> ending(s.finished.begin(), s.finished.end());
+    // Finished jobs: the end state replaces the job's record in one step. What its pages say of it leaves with
+    // their next writes.
     for (const auto& id : s.finished) {
         const core::JobEntry& e = *n_.ledger.find(id);
         const auto status = e.job.cancelled ? wire::JobStatus::cancelled : wire::JobStatus::done;
@@ -240,39 +247,101 @@
         for (const auto& [i, c] : e.chunks) {
             const auto st = s.chunks.find({id, i});
             done += st == s.chunks.end() ? c.done.size() : st->second.chunk.done.size();
-            if (c.stamp == 0 || u.effects.size() + 1 >= most) continue;
-            u.conditions.emplace_back(keys::run(id, i), c.stamp);
-            u.effects.push_back({keys::run(id, i), std::nullopt, 0});
         }
         u.extra.push_back({keys::final(id), wire::final_record(status, done), 0});
         for (auto it = s.chunks.lower_bound({id, 0}); it != s.chunks.end() && it->first.first == id;) {
             u.closed.insert(u.closed.end(), it->second.closed.begin(), it->second.closed.end());
             it = s.chunks.erase(it);
         }
-        u.bytes = 200 + u.effects.size() * 64;
+        u.bytes = 300;
         out.push_back(std::move(u));
     }
     std::erase_if(waiting_since_, [&](const auto& w) { return !s.chunks.contains(w.first); });
+    if (s.chunks.empty()) return out;
+
+    // What the pages of this node's teams hold, at the most that their chunks may grow to.
+    std::size_t name = 10;
+    for (const auto& [id, m] : n_.picture.machines()) name = std::max(name, id.size());
+    const auto reserve = [&](const core::JobEntry& e, std::uint32_t chunk) {
+        const std::uint32_t tasks = std::min(core::kChunkTasks, e.job.tasks - chunk * core::kChunkTasks);
+        return 90 + e.job.id.size() + tasks * (name + 20);
+    };
+    const auto room = std::min(kPageBytes, static_cast<std::size_t>(n_.settings.value_kb * 1024 * 0.9));
+    std::map<core::PageKey, std::size_t> load;
+    for (const auto& [key, page] : n_.ledger.pages()) {
+        if (!n_.owns(key.first)) continue;
+        std::size_t& sum = load[key];
+        for (const auto& [job, chunk] : page.chunks) {
+            const core::JobEntry* e = n_.ledger.find(job);
+            if (e != nullptr && !ending.contains(job)) sum += reserve(*e, chunk);
+        }
+    }
+    std::map<core::PageKey, std::vector<const core::ChunkKey*>> touched;
+    for (const auto& [key, r] : s.chunks) {
+        if (r.chunk.page != 0) touched[{n_.ledger.find(key.first)->job.team, r.chunk.page}].push_back(&key);
+    }
     for (auto& [key, r] : s.chunks) {
+        if (r.chunk.page != 0) continue;
         const core::JobEntry& e = *n_.ledger.find(key.first);
-        const bool production = e.job.priority == core::Priority::production;
+        const std::size_t need = reserve(e, key.second);
+        // Pages that are written anyway first, then the emptiest, then a new one.
+        const core::PageKey* at = nullptr;
+        for (const auto& [page, chunks] : touched) {
+            if (page.first == e.job.team && load[page] + need <= room) at = &page;
+        }
+        core::PageKey fresh{e.job.team, 1};
+        if (at == nullptr) {
+            std::size_t least = room;
+            for (const auto& [page, sum] : load) {
+                if (page.first != e.job.team) continue;
+                if (page.second == fresh.second) ++fresh.second;
+                if (sum + need <= least) {
+                    least = sum + need;
+                    at = &page;
+                }
+            }
+        }
+        const core::PageKey page = at == nullptr ? fresh : *at;
+        load[page] += need;
+        r.chunk.page = page.second;
+        touched[page].push_back(&key);
+    }
+    for (const auto& [page, keys_here] : touched) {
         Unit u;
-        if (!r.started.empty()) {
-            u.rank = production ? 0 : 2;
-        } else {
-            // Ends of tasks alone are told by the worker until they are reaped. They wait for company, since each
-            // write of a record counts the same however much it says.
-            const Micros since = waiting_since_.try_emplace(key, now).first->second;
-            u.rank = r.urgent ? (production ? 0 : 1) : now - since > kEndsWait ? 3 : 4;
+        u.rank = 5;
+        std::map<core::ChunkKey, const core::Chunk*> content;
+        const auto known = n_.ledger.pages().find(page);
+        u.conditions.emplace_back(keys::page(page), known == n_.ledger.pages().end() ? 0 : known->second.stamp);
+        if (known != n_.ledger.pages().end()) {
+            for (const auto& chunk : known->second.chunks) {
+                const core::JobEntry* e = n_.ledger.find(chunk.first);
+                if (e != nullptr && !ending.contains(chunk.first)) content[chunk] = &e->chunks.at(chunk.second);
+            }
+        }
+        for (const core::ChunkKey* key : keys_here) {
+            Record& r = s.chunks.at(*key);
+            const core::JobEntry& e = *n_.ledger.find(key->first);
+            const bool production = e.job.priority == core::Priority::production;
+            int rank = 0;
+            if (!r.started.empty()) {
+                rank = production ? 0 : 2;
+                // A cancel that comes first must keep the start from being recorded; and so must the job's end.
+                const std::pair<std::string, core::Stamp> condition{keys::job(key->first), e.stamp};
+                if (u.conditions.back() != condition) u.conditions.push_back(condition);
+            } else {
+                // Ends of tasks alone are told by the worker until they are reaped. They wait for company, since
+                // each write of a page counts the same however much it says.
+                const Micros since = waiting_since_.try_emplace(*key, now).first->second;
+                rank = r.urgent ? (production ? 0 : 1) : now - since > kEndsWait ? 3 : 4;
+            }
+            u.rank = std::min(u.rank, rank);
+            content[*key] = &r.chunk;
+            u.keys.push_back(*key);
+            u.closed.insert(u.closed.end(), r.closed.begin(), r.closed.end());
+            u.started.insert(u.started.end(), r.started.begin(), r.started.end());
         }
-        u.key = key;
-        u.conditions.emplace_back(keys::run(key.first, key.second), r.chunk.stamp);
-        // A cancel that comes first must keep the start from being recorded; and so must the job's end.
-        u.conditions.emplace_back(keys::job(key.first), e.stamp);
-        u.effects.push_back({keys::run(key.first, key.second), wire::chunk_record(r.chunk), 0});
-        u.bytes = 100 + r.chunk.open.size() * 40 + r.chunk.done.ranges().size() * 8;
-        u.closed = std::move(r.closed);
-        u.started = std::move(r.started);
+        for (const auto& [key, c] : content) u.bytes += 60 + key.first.size() + c->open.size() * (name + 14) + c->done.ranges().size() * 8;
+        u.effects.push_back({keys::page(page), wire::page_record(content), 0});
         out.push_back(std::move(u));
     }
     std::stable_sort(out.begin(), out.end(), [](const Unit& a, const Unit& b) { return a.rank < b.rank; });
@@ -309,7 +378,7 @@
                         e.stamp = r.revision;
                         replica_.apply(e);
                     }
-                    waiting_since_.erase(all[i].key);
+                    for (const auto& key : all[i].keys) waiting_since_.erase(key);
                     for (auto& c : all[i].closed) to_reap_.push_back(std::move(c));
                     // Recorded, so it may start; if this node is the owner no more, its order is void.
                     if (!n_.acting() || epoch != n_.epoch.number) continue;
@@ -406,9 +475,9 @@
             // What the budget bears within half a second, but enough for one record of each sort.
             const double spare = std::max(0.0, n_.state.spare_writes());
             const double bear = std::max(6.0, spare + n_.state.write_rate() * 0.5);
-            std::size_t pressing = s.finished.size() * 3;
-            for (const auto& [key, r] : s.chunks) pressing += r.urgent ? 1 : 0;
-            place(s, static_cast<std::size_t>(std::max(3.0, bear - static_cast<double>(pressing))));
+            const std::size_t pressing = s.finished.size() * 2;
+            const std::size_t deferred =
+                place(s, static_cast<std::size_t>(std::max(6.0, kChunksPerPage * (bear - static_cast<double>(pressing)))));
             auto all = units(s);
             double sum = 0;
             double left_out = 0;
@@ -419,8 +488,10 @@
                 (out ? left_out : sum) += writes;
                 return out;
             });
-            n_.state.want(std::min(left_out, 1.0));
+            n_.state.set_backlog(left_out + static_cast<double>(deferred));
             last_pass_ = std::min(steady_now() - began, Micros{1'000'000});
+            spdlog::debug("event=pass took_us={} units={} writes={} left_out={} deferred={} spare={:.1f} rate={:.1f}",
+                          last_pass_.count(), all.size(), sum, left_out, deferred, spare, n_.state.write_rate());
             if (!all.empty()) {
                 auto task = commit(std::move(all));
                 const bool ok = co_await std::move(task);
@@ -431,19 +502,22 @@
             last_pass_ = steady_now() - began;
         }
         reap();
-        if (!n_.leads()) continue;
-        // Records of finished jobs that did not fit into the finishing transaction.
-        const auto orphans = n_.ledger.orphans();
-        if (orphans.empty()) continue;
+        // Pages that only speak of jobs that are over.
+        if (steady_now() - last_emptied_ < kEmptyPages || !n_.acting() || n_.state.spare_writes() < 4) continue;
+        last_emptied_ = steady_now();
         wire::Transaction t;
         std::vector<wire::StoreItem> effects;
         t.conditions.emplace_back(keys::kEpoch, n_.epoch.stamp);
-        for (const auto& [key, stamp] : orphans) {
-            if (t.writes.size() >= std::min<std::size_t>(n_.settings.txn_ops, 8)) break;
-            t.conditions.emplace_back(keys::run(key.first, key.second), stamp);
-            t.writes.push_back({keys::run(key.first, key.second), std::nullopt, 0});
-            effects.push_back({keys::run(key.first, key.second), std::nullopt, 0});
+        for (const auto& [key, page] : n_.ledger.pages()) {
+            if (!n_.owns(key.first) || t.writes.size() >= 3) continue;
+            const bool used = std::any_of(page.chunks.begin(), page.chunks.end(),
+                                          [&](const auto& c) { return n_.ledger.find(c.first) != nullptr; });
+            if (used) continue;
+            t.conditions.emplace_back(keys::page(key), page.stamp);
+            t.writes.push_back({keys::page(key), std::nullopt, 0});
+            effects.push_back({keys::page(key), std::nullopt, 0});
         }
+        if (effects.empty()) continue;
         auto task = n_.state.commit(std::move(t), steady_now() + Micros{1'000'000});
         const CommitResult r = co_await std::move(task);
         if (r.outcome == Commit::done) {
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -31,8 +31,8 @@
         std::uint32_t task;
         core::Attempt attempt;
     };
-    using ChunkKey = std::pair<std::string, std::uint32_t>;
-    // A record of the store as it will be, and what made it so.
+    using ChunkKey = core::ChunkKey;
+    // A chunk as it will be, and what made it so.
     struct Record {
         core::Chunk chunk;
         std::vector<Closed> closed;
@@ -46,7 +46,7 @@
     // What is written together or not at all.
     struct Unit {
         int rank = 0;  // lower goes first
-        ChunkKey key;
+        std::vector<ChunkKey> keys;
         std::vector<std::pair<std::string, core::Stamp>> conditions;
         std::vector<wire::StoreItem> effects;  // written, and then part of the copy
         std::vector<wire::StoreItem> extra;    // written only
@@ -62,7 +62,8 @@
     void close(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task, const core::Attempt& a,
                bool done);
     Record& stage(Staged& s, const core::JobEntry& e, std::uint32_t chunk);
-    void place(Staged& s, std::size_t records);
+    // Returns how many jobs were left for another pass.
+    std::size_t place(Staged& s, std::size_t records);
     std::vector<Unit> units(Staged& s);
     // False when the pass must begin anew.
     io::Task<bool> commit(std::vector<Unit> all);
@@ -84,6 +85,7 @@
     std::map<std::tuple<std::string, std::string, std::uint32_t, std::uint64_t>, std::uint64_t> strays_;
     std::uint64_t epoch_seen_ = 0;
     io::Micros last_sweep_{0};
+    io::Micros last_emptied_{0};
 };
 
 }  // namespace hatchwind::service
--- a/src/service/replica.cpp
+++ b/src/service/replica.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <cstdlib>
+
 namespace hatchwind::service {
 
 using io::Micros;
@@ -45,14 +47,16 @@
             n_.ledger.erase_job(id, item.stamp);
         }
     } else if (key.starts_with(kRun)) {
-        const auto ref = wire::parse_task_name(key.substr(kRun.size()));
-        ok = ref.has_value();
+        const auto team_end = key.rfind('/');
+        const core::PageKey page{std::string(key.substr(kRun.size(), team_end - kRun.size())),
+                                 static_cast<std::uint32_t>(std::strtoul(std::string(key.substr(team_end + 1)).c_str(), nullptr, 10))};
+        ok = team_end > kRun.size() && page.second != 0;
         if (ok && item.value) {
-            auto c = wire::parse_chunk_record(*item.value, item.stamp);
-            ok = c.has_value();
-            if (ok) n_.ledger.put_chunk(ref->first, ref->second, std::move(*c));
+            auto chunks = wire::parse_page_record(*item.value);
+            ok = chunks.has_value();
+            if (ok) n_.ledger.put_page(page, item.stamp, std::move(*chunks));
         } else if (ok) {
-            n_.ledger.erase_chunk(ref->first, ref->second, item.stamp);
+            n_.ledger.erase_page(page, item.stamp);
         }
     } else if (key == keys::kDraining && item.value && item.stamp > n_.draining_stamp) {
         auto names = wire::parse_names_record(*item.value);
@@ -66,7 +70,7 @@
 }
 
 Task<bool> Replica::load() {
-    n_.synced = false;
+    // Until it is whole the old copy serves: it is old, never wrong, and whoever needs more waits for its revision.
     std::vector<wire::StoreItem> all;
     std::string after;
     core::Stamp first = 0;
--- a/src/service/state_client.cpp
+++ b/src/service/state_client.cpp
@@ -164,9 +164,12 @@
     std::string target = "/watch?starts=" + prefix + "&after=" + std::to_string(after) +
                          "&blockMs=" + std::to_string(block.count() / 1000);
     // Open watches stay open through an outage, so silence is no failure; but a watch behind a cut must end.
-    auto task = call("GET", std::move(target), "", steady_now() + block + Micros{3'000'000}, 0, true, 16U << 20U);
+    auto task = call("GET", std::move(target), "", steady_now() + block + Micros{3'000'000}, 0, true,
+                     std::max<std::size_t>(1U << 20U, static_cast<std::size_t>(settings_.memory_mb * 1024 * 1024 / 48)));
     const io::HttpReply r = co_await std::move(task);
-    if (r.status == 410) {
+    // An answer has no bound: after a long cut it holds all that was written since, many times what the store
+    // holds, and reading it once ended a small node for want of memory. The store itself comes in pages.
+    if (r.status == 410 || r.too_large) {
         out.too_old = true;
         co_return out;
     }
--- a/src/service/state_client.hpp
+++ b/src/service/state_client.hpp
@@ -53,9 +53,10 @@
 
     // The limits are for all nodes together. `writes`: this node's part of them.
     void share(std::size_t nodes, double writes);
-    // Writes that wait for the budget count as wanted, too.
-    void want(double writes);
-    double demand() const { return demand_ / kDemandSpan; }  // writes wanted a second, of late
+    // Writes that somebody holds back for want of budget.
+    void set_backlog(double writes) { backlog_ = writes; }
+    // Writes wanted a second: those made of late, and what waits.
+    double demand() const { return demand_ / kDemandSpan + backlog_; }
     double spare_writes();
     double write_rate() const { return writes_.rate(); }
     bool reachable(io::Micros now) const;
@@ -77,7 +78,9 @@
     io::Micros failing_since_{0};  // 0: the last call was answered
     std::uint64_t malformed_ = 0;
     static constexpr double kDemandSpan = 3;  // seconds
+    void want(double writes);
     double demand_ = 0;
+    double backlog_ = 0;
     io::Micros demand_at_{0};
 };
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -505,6 +505,25 @@
     return e;
 }
 
+Json page_record(const std::map<core::ChunkKey, const core::Chunk*>& chunks) {
+    Json out = Json::object();
+    for (const auto& [key, c] : chunks) out[key.first + "/" + std::to_string(key.second)] = chunk_record(*c);
+    return {{"c", std::move(out)}};
+}
+
+std::optional<std::map<core::ChunkKey, core::Chunk>> parse_page_record(const Json& v) {
+    const auto it = v.is_object() ? v.find("c") : v.end();
+    if (!v.is_object() || it == v.end() || !it->is_object()) return std::nullopt;
+    std::map<core::ChunkKey, core::Chunk> out;
+    for (const auto& [name, record] : it->items()) {
+        auto ref = parse_task_name(name);
+        auto c = parse_chunk_record(record, 0);
+        if (!ref || !c) return std::nullopt;
+        out.emplace(core::ChunkKey{std::move(ref->first), ref->second}, std::move(*c));
+    }
+    return out;
+}
+
 Json names_record(const std::set<std::string>& names) { return {{"names", names}}; }
 
 std::optional<std::set<std::string>> parse_names_record(const Json& v) {
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -79,6 +79,8 @@
 std::optional<core::Chunk> parse_chunk_record(const Json& v, core::Stamp stamp);
 Json epoch_record(const core::Epoch& e);
 std::optional<core::Epoch> parse_epoch_record(const Json& v, core::Stamp stamp);
+Json page_record(const std::map<core::ChunkKey, const core::Chunk*>& chunks);
+std::optional<std::map<core::ChunkKey, core::Chunk>> parse_page_record(const Json& v);
 Json names_record(const std::set<std::string>& names);
 std::optional<std::set<std::string>> parse_names_record(const Json& v);
 Json final_record(JobStatus s, std::uint32_t done);
