--- a/src/core/drain_planner.cpp
+++ b/src/core/drain_planner.cpp
@@ -1,6 +1,8 @@
 #include "core/drain_planner.hpp"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 #include <unordered_map>
 
 namespace hatchwind::core {
@@ -20,7 +22,8 @@
     Trial(const DrainInput& in, Room& room, DrainState& state) : in_(in), room_(room), state_(state) {}
 
     // Finds a home for one task. Remembered destinations first, then from the list's far end.
-    bool fit(const JobEntry& e, const TaskRef& ref, const std::string& from, const std::set<std::string>& skip) {
+    bool fit(const JobEntry& e, const TaskRef& ref, const std::string& from,
+             const std::set<std::string>& skip) {
         if (const auto hint = state_.destinations.find(ref); hint != state_.destinations.end()) {
             const auto at = room_.at(hint->second);
             if (at != Room::npos && fits(e, at, from, skip)) return take(e, ref, at);
@@ -42,7 +45,8 @@
     }
     bool takes_tasks(const std::string& machine) const { return taking_.contains(machine); }
 
-    // Trials nest by position, as the room's do. Copies of whole maps for each trial were quadratic in the fleet.
+    // Trials nest by position, as the room's do. Copies of whole maps for each trial were quadratic in the
+    // fleet.
     struct Mark {
         std::size_t room, moves, destinations, quota;
     };
@@ -86,8 +90,9 @@
     }
     bool fits(const JobEntry& e, std::size_t at, const std::string& from, const std::set<std::string>& skip) {
         const RoomMachine& m = room_.machines()[at];
-        return m.usable && !m.draining && e.job.need.fits_in(m.free) && may_run_on(e.job, m) && m.id != from &&
-               !skip.contains(m.id) && ((!e.job.spread && !e.job.one_zone) || zone_use(e).allows(e.job, m.zone));
+        return m.usable && !m.draining && e.job.need.fits_in(m.free) && may_run_on(e.job, m) &&
+               m.id != from && !skip.contains(m.id) &&
+               ((!e.job.spread && !e.job.one_zone) || zone_use(e).allows(e.job, m.zone));
     }
     bool take(const JobEntry& e, const TaskRef& ref, std::size_t at) {
         const RoomMachine& m = room_.machines()[at];
@@ -139,24 +144,28 @@
     }
     for (const auto& [ref, when] : state.recent_stops) {
         const JobEntry* e = in.ledger->find(ref.job);
-        if (e == nullptr || e->job.cancelled || in.ledger->open_attempt(ref.job, ref.task) != nullptr) continue;
+        if (e == nullptr || e->job.cancelled || in.ledger->open_attempt(ref.job, ref.task) != nullptr)
+            continue;
         const auto c = e->chunks.find(ref.task / kChunkTasks);
         if (c != e->chunks.end() && c->second.done.contains(ref.task)) continue;
         if (!trial.fit(*e, ref, "", {})) return hold();
     }
 
-    // Least used first: empty machines cost nothing to give back.
-    std::vector<std::pair<double, std::string>> eligible;
+    // Least used first: empty machines cost nothing to give back. Among equals the dearest, since caps and
+    // stop quotas may leave the rest standing.
+    std::vector<std::tuple<double, double, std::string>> eligible;
     for (const auto& m : room.machines()) {
         if (m.view == nullptr || m.draining || in.protected_machines.contains(m.id)) continue;
         // A machine that takes nothing new may still be returned; a silent one is another duty's business.
         if (!m.usable && !m.view->notice_until && in.ledger->on_machine(m.id).empty()) continue;
-        if (m.use() < s.use_threshold) eligible.emplace_back(m.use(), m.id);
+        if (m.use() < s.use_threshold)
+            eligible.emplace_back(std::round(m.use() * 10), -m.price() / std::max(m.type->size.cpus, 1.0),
+                                  m.id);
     }
     std::sort(eligible.begin(), eligible.end());
     const std::size_t standing = room.machines().size() - in.draining.size();
     std::set<std::string> candidates;
-    for (const auto& [use, id] : eligible) {
+    for (const auto& [use, price, id] : eligible) {
         if (in.out_of_time()) break;
         if (standing - candidates.size() <= s.fleet_minimum) break;
         const RoomMachine* from = room.find(id);
@@ -196,6 +205,9 @@
     for (const auto& [id, when] : state.candidate_since) {
         if (in.now - when >= s.unneeded) ripe.push_back(id);
     }
+    std::stable_sort(ripe.begin(), ripe.end(), [&](const std::string& a, const std::string& b) {
+        return room.find(a)->price() > room.find(b)->price();
+    });
     for (const auto& id : ripe) {
         if (under_way >= s.total_cap) break;
         if (!in.ledger->on_machine(id).empty()) continue;
--- a/src/core/drain_planner.hpp
+++ b/src/core/drain_planner.hpp
@@ -23,9 +23,9 @@
 };
 
 struct DrainState {
-    std::map<std::string, Micros> candidate_since;        // machine -> steady
-    std::map<TaskRef, std::string> destinations;          // remembered from the last trial
-    std::map<TaskRef, Micros> recent_stops;               // steady
+    std::map<std::string, Micros> candidate_since;  // machine -> steady
+    std::map<TaskRef, std::string> destinations;    // remembered from the last trial
+    std::map<TaskRef, Micros> recent_stops;         // steady
 };
 
 struct DrainInput {
--- a/src/core/epoch.cpp
+++ b/src/core/epoch.cpp
@@ -23,7 +23,8 @@
     const auto lightest = [&] {
         // The leader has work of its own, so it comes last among equals.
         return std::min_element(load.begin(), load.end(), [&](const auto& a, const auto& b) {
-            return std::tuple{a.second, a.first == leader, a.first} < std::tuple{b.second, b.first == leader, b.first};
+            return std::tuple{a.second, a.first == leader, a.first} <
+                   std::tuple{b.second, b.first == leader, b.first};
         });
     };
     for (const auto& t : teams) {
--- a/src/core/fleet_planner.cpp
+++ b/src/core/fleet_planner.cpp
@@ -39,8 +39,8 @@
         for (const JobEntry* e : queue) {
             if (e->job.kind != JobKind::array) place_all(*e);
         }
-        // Arrays share room over time: so much as empties their backlog in the wanted time. What their running
-        // tasks will leave within that time is room for the queue too.
+        // Arrays share room over time: so much as empties their backlog in the wanted time. What their
+        // running tasks will leave within that time is room for the queue too.
         lend_running();
         searched_.clear();  // there is room again
         for (const JobEntry* e : queue) {
@@ -57,7 +57,8 @@
     }
 
     bool open_for(const JobEntry& e, const ZoneUse& zones, const RoomMachine& m) const {
-        return m.usable && !m.draining && e.job.need.fits_in(m.free) && may_run_on(e.job, m) && zones.allows(e.job, m.zone);
+        return m.usable && !m.draining && e.job.need.fits_in(m.free) && may_run_on(e.job, m) &&
+               zones.allows(e.job, m.zone);
     }
 
     // As many of n tasks as this machine takes.
@@ -76,7 +77,8 @@
     std::uint32_t some(const JobEntry& e, ZoneUse& zones, std::uint32_t n) {
         std::uint32_t got = 0;
         // Room only shrinks: a job of the same shape goes on where the last one stopped.
-        std::size_t& from = searched_[{e.job.need.cpus, e.job.need.gpus, e.job.need.memory_gb, e.job.spot, e.job.zone, e.job.types}];
+        std::size_t& from = searched_[{e.job.need.cpus, e.job.need.gpus, e.job.need.memory_gb, e.job.spot,
+                                       e.job.zone, e.job.types}];
         const bool zoned = e.job.spread || e.job.one_zone;
         std::size_t i = from;
         for (; i < room_.machines().size() && got < n; ++i) {
@@ -119,7 +121,8 @@
                     // Money for the room that the queue would really use on it.
                     const double price = spot ? t.spot_price : t.price;
                     const double used = std::min(t.size.cpus, std::max(cpus_wanted, e.job.need.cpus));
-                    const std::tuple<double, std::size_t> cost{price / std::max(used, 1e-3), machines_in(zone)};
+                    const std::tuple<double, std::size_t> cost{price / std::max(used, 1e-3),
+                                                               machines_in(zone)};
                     if (!best || cost < best_cost) {
                         best = pool;
                         best_cost = cost;
@@ -148,7 +151,8 @@
 
     // The part of the wanted time for which a task of this job needs its place.
     double time_share(const Job& j, double run) const {
-        const double left = static_cast<double>((due_time(j, *in_.objectives, in_.wall) - in_.wall).count()) / 1e6 - run;
+        const double left =
+            static_cast<double>((due_time(j, *in_.objectives, in_.wall) - in_.wall).count()) / 1e6 - run;
         return std::min(1.0, run / std::max(left * s_.slack_share, s_.least_queue_s));
     }
 
@@ -191,7 +195,8 @@
     std::map<Pool, std::uint32_t> rent_;
     std::map<std::string, Amount> used_;
     std::map<std::string, std::size_t> in_zone_;
-    std::map<std::tuple<double, double, double, bool, std::optional<std::string>, std::optional<std::vector<std::string>>>,
+    std::map<std::tuple<double, double, double, bool, std::optional<std::string>,
+                        std::optional<std::vector<std::string>>>,
              std::size_t>
         searched_;
     double owed_ = 0;
--- a/src/core/fleet_planner.hpp
+++ b/src/core/fleet_planner.hpp
@@ -32,10 +32,10 @@
     const Catalog* catalog = nullptr;
     const std::map<std::string, Team>* teams = nullptr;
     const std::vector<Objective>* objectives = nullptr;
-    std::vector<Rental> booting;                // rented, not reporting yet, not overdue
-    std::map<Pool, Micros> refused_until;       // steady
-    Micros now{};   // steady
-    Micros wall{};  // time of day
+    std::vector<Rental> booting;           // rented, not reporting yet, not overdue
+    std::map<Pool, Micros> refused_until;  // steady
+    Micros now{};                          // steady
+    Micros wall{};                         // time of day
 };
 
 // How many machines to rent from which pool.
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -21,7 +21,8 @@
     auto b = before.open.begin();
     auto a = after.open.begin();
     while (b != before.open.end() || a != after.open.end()) {
-        if (a != after.open.end() && b != before.open.end() && a->first == b->first && a->second == b->second) {
+        if (a != after.open.end() && b != before.open.end() && a->first == b->first &&
+            a->second == b->second) {
             ++a;
             ++b;
             continue;
@@ -34,7 +35,8 @@
             ++a;
         }
     }
-    use_[e.job.team] += e.job.need * (static_cast<double>(after.open.size()) - static_cast<double>(before.open.size()));
+    use_[e.job.team] +=
+        e.job.need * (static_cast<double>(after.open.size()) - static_cast<double>(before.open.size()));
 }
 
 void Ledger::put_job(Job job, Stamp stamp) {
@@ -43,9 +45,10 @@
     if (!fresh && e.stamp >= stamp) return;
     e.job = std::move(job);
     e.stamp = stamp;
-    // The store is read in pieces: a page may be newer than the job's record, and come before it. Without what it
-    // says the job would look as if nothing of it had started.
-    for (auto o = orphans_.lower_bound({e.job.id, 0}); fresh && o != orphans_.end() && o->first.first == e.job.id;) {
+    // The store is read in pieces: a page may be newer than the job's record, and come before it. Without
+    // what it says the job would look as if nothing of it had started.
+    for (auto o = orphans_.lower_bound({e.job.id, 0});
+         fresh && o != orphans_.end() && o->first.first == e.job.id;) {
         const std::uint32_t index = o->first.second;
         Chunk chunk = std::move(o->second);
         o = orphans_.erase(o);
@@ -64,7 +67,8 @@
     Chunk& mine = e.chunks[index];
     if (mine.stamp >= chunk.stamp) return;
     account(e, mine, chunk);
-    e.open = e.open - static_cast<std::uint32_t>(mine.open.size()) + static_cast<std::uint32_t>(chunk.open.size());
+    e.open =
+        e.open - static_cast<std::uint32_t>(mine.open.size()) + static_cast<std::uint32_t>(chunk.open.size());
     e.done = e.done - mine.done.size() + chunk.done.size();
     mine = std::move(chunk);
 }
@@ -103,7 +107,8 @@
 }
 
 void Ledger::erase_chunk(const std::string& job, std::uint32_t index, Stamp at) {
-    if (const auto o = orphans_.find({job, index}); o != orphans_.end() && o->second.stamp < at) orphans_.erase(o);
+    if (const auto o = orphans_.find({job, index}); o != orphans_.end() && o->second.stamp < at)
+        orphans_.erase(o);
     const auto it = jobs_.find(job);
     if (it == jobs_.end()) return;
     const auto c = it->second.chunks.find(index);
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -34,8 +34,8 @@
 };
 using ChunkKey = std::pair<std::string, std::uint32_t>;  // job, number of the chunk
 
-// One record of the store: chunks of many jobs of one team. The store counts writes, not what they say, so what
-// starts and ends at the same time is written together.
+// One record of the store: chunks of many jobs of one team. The store counts writes, not what they say, so
+// what starts and ends at the same time is written together.
 struct Page {
     Stamp stamp = 0;
     std::set<ChunkKey> chunks;  // some may be of jobs that are over
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -13,7 +13,8 @@
 using Micros = std::chrono::microseconds;
 using Stamp = std::uint64_t;  // a store revision; 0: the key does not exist
 
-constexpr double kSlack = 1e-6;  // amounts are decimal fractions: sums of them are compared with this much room
+constexpr double kSlack =
+    1e-6;  // amounts are decimal fractions: sums of them are compared with this much room
 
 enum class JobKind : std::uint8_t { array, gang, service };
 enum class Priority : std::uint8_t { best_effort, normal, high, production };
@@ -37,7 +38,8 @@
     }
     friend Amount operator*(Amount a, double k) { return {a.cpus * k, a.gpus * k, a.memory_gb * k}; }
     bool fits_in(const Amount& room) const {
-        return cpus <= room.cpus + kSlack && gpus <= room.gpus + kSlack && memory_gb <= room.memory_gb + kSlack;
+        return cpus <= room.cpus + kSlack && gpus <= room.gpus + kSlack &&
+               memory_gb <= room.memory_gb + kSlack;
     }
 };
 
--- a/src/core/picture.cpp
+++ b/src/core/picture.cpp
@@ -21,10 +21,11 @@
     m.notice_until.reset();
     if (r.notice_s) m.notice_until = steady + Micros{static_cast<std::int64_t>(*r.notice_s * 1e6)};
     // A worker that lost its lease keeps its images: the machine did not restart.
-    const bool same_tasks = std::equal(r.tasks.begin(), r.tasks.end(), m.last.tasks.begin(), m.last.tasks.end(),
-                                       [](const TaskReport& x, const TaskReport& y) {
-                                           return x.task == y.task && x.attempt == y.attempt && x.job == y.job;
-                                       });
+    const bool same_tasks =
+        std::equal(r.tasks.begin(), r.tasks.end(), m.last.tasks.begin(), m.last.tasks.end(),
+                   [](const TaskReport& x, const TaskReport& y) {
+                       return x.task == y.task && x.attempt == y.attempt && x.job == y.job;
+                   });
     const bool same = same_tasks && m.last.session == r.session && m.last.tasks == r.tasks &&
                       m.last.notice_s.has_value() == r.notice_s.has_value();
     m.last = std::move(r);
@@ -41,8 +42,8 @@
     return true;
 }
 
-bool Picture::alive(const std::string& machine, std::uint64_t session, std::uint64_t tick, std::uint64_t token,
-                    std::uint64_t content_tick, Micros steady, Micros heard_wall) {
+bool Picture::alive(const std::string& machine, std::uint64_t session, std::uint64_t tick,
+                    std::uint64_t token, std::uint64_t content_tick, Micros steady, Micros heard_wall) {
     const auto it = machines_.find(machine);
     if (it == machines_.end()) return false;
     MachineView& m = it->second;
@@ -106,8 +107,8 @@
     return m == nullptr ? v : view_attempt(*m, job, task, a.number, a.session);
 }
 
-AttemptView view_attempt(const MachineView& m, const std::string& job, std::uint32_t task, std::uint64_t number,
-                         std::uint64_t session) {
+AttemptView view_attempt(const MachineView& m, const std::string& job, std::uint32_t task,
+                         std::uint64_t number, std::uint64_t session) {
     AttemptView v;
     if (m.last.session < session) return v;
     if (m.last.session > session) {
--- a/src/core/picture.hpp
+++ b/src/core/picture.hpp
@@ -18,12 +18,12 @@
 
 struct MachineView {
     WorkerReport last;
-    Micros heard{};       // time of day of the newest answered report or order, by any node
-    Micros first_seen{};  // steady
-    Micros changed{};     // steady: when the newest report came in
+    Micros heard{};                  // time of day of the newest answered report or order, by any node
+    Micros first_seen{};             // steady
+    Micros changed{};                // steady: when the newest report came in
     std::uint64_t content_tick = 0;  // of the newest report that changed its session, tasks or notice
-    // A report may be a late copy from a machine that is long gone, and a node that has just started cannot tell.
-    // A machine takes tasks only after it has answered a question of ours; see Picture::confirm().
+    // A report may be a late copy from a machine that is long gone, and a node that has just started cannot
+    // tell. A machine takes tasks only after it has answered a question of ours; see Picture::confirm().
     bool confirmed = false;
     std::optional<Micros> notice_until;  // steady: when the cloud takes it
     struct Image {
@@ -34,9 +34,10 @@
     std::vector<std::uint32_t> index;  // places in last.tasks, by task number, then job, newest attempt first
 
     const TaskReport* task(const std::string& job, std::uint32_t number) const {
-        const auto it = std::lower_bound(index.begin(), index.end(), std::tie(number, job), [&](std::uint32_t i, const auto& k) {
-            return std::tie(last.tasks[i].task, last.tasks[i].job) < k;
-        });
+        const auto it = std::lower_bound(index.begin(), index.end(), std::tie(number, job),
+                                         [&](std::uint32_t i, const auto& k) {
+                                             return std::tie(last.tasks[i].task, last.tasks[i].job) < k;
+                                         });
         if (it == index.end()) return nullptr;
         const TaskReport& t = last.tasks[*it];
         return t.task == number && t.job == job ? &t : nullptr;
@@ -45,18 +46,20 @@
 
 class Picture {
   public:
-    // True when the report is news: newer (session, tick) than the known one. Anything else is a late copy or a
-    // repeat, and changes nothing at all. `answer`: it came as the answer to a request, so it is no late copy.
-    // `doubt_after`: a first report, or one after that much silence, proves no life by itself: the machine has
-    // to answer before it is used.
-    bool apply(WorkerReport r, Micros steady, Micros heard_wall, bool answer = false, Micros doubt_after = Micros::max());
+    // True when the report is news: newer (session, tick) than the known one. Anything else is a late copy or
+    // a repeat, and changes nothing at all. `answer`: it came as the answer to a request, so it is no late
+    // copy. `doubt_after`: a first report, or one after that much silence, proves no life by itself: the
+    // machine has to answer before it is used.
+    bool apply(WorkerReport r, Micros steady, Micros heard_wall, bool answer = false,
+               Micros doubt_after = Micros::max());
     void heard(const std::string& machine, Micros wall);
-    void note_image(const std::string& machine, const std::string& image, double gb, double cache_gb, Micros steady);
+    void note_image(const std::string& machine, const std::string& image, double gb, double cache_gb,
+                    Micros steady);
     // The cloud has confirmed that the machine is gone, for good.
     void release(const std::string& machine);
     bool released(const std::string& machine) const { return released_.contains(machine); }
-    // A report without news of its tasks, told by another node. False when this node has not seen the tasks it
-    // speaks of: then it must wait for a whole report.
+    // A report without news of its tasks, told by another node. False when this node has not seen the tasks
+    // it speaks of: then it must wait for a whole report.
     bool alive(const std::string& machine, std::uint64_t session, std::uint64_t tick, std::uint64_t token,
                std::uint64_t content_tick, Micros steady, Micros heard_wall);
     // It has answered this node, or another one that says so.
@@ -90,7 +93,7 @@
 
 AttemptView view_attempt(const Picture& p, const std::string& job, std::uint32_t task, const Attempt& a);
 // The same for an attempt on a machine that is in the picture, without looking for it.
-AttemptView view_attempt(const MachineView& m, const std::string& job, std::uint32_t task, std::uint64_t number,
-                         std::uint64_t session);
+AttemptView view_attempt(const MachineView& m, const std::string& job, std::uint32_t task,
+                         std::uint64_t number, std::uint64_t session);
 
 }  // namespace hatchwind::core
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -14,9 +14,11 @@
 
 Micros seconds(double s) { return Micros{static_cast<std::int64_t>(s * 1e6)}; }
 
-// Once all wishes are missed: behind what can still be met, since serving the latest first under overload makes
-// every job late in turn; but by a time of its own, so that newcomers do not pass it for ever.
-Micros late_due(const Job& j, double last_wish_s) { return j.accepted + seconds(std::max(240.0, 2 * last_wish_s)); }
+// Once all wishes are missed: behind what can still be met, since serving the latest first under overload
+// makes every job late in turn; but by a time of its own, so that newcomers do not pass it for ever.
+Micros late_due(const Job& j, double last_wish_s) {
+    return j.accepted + seconds(std::max(240.0, 2 * last_wish_s));
+}
 
 double last_wish(const Job& j, const std::vector<Objective>& objectives) {
     double last = j.deadline_s.value_or(0);
@@ -86,18 +88,22 @@
             if (!r.waiting) hold(r, 1.0);
         }
         for (const auto& [name, team] : *in.teams) used_[name] = in.ledger->team_use(name);
+        for (const auto& o : *in.objectives) {
+            if (o.kind == "guarantee") patience_ = seconds(o.within_s / 2);
+        }
     }
 
     PlacementResult run() {
         const auto queue = queue_order(*in_.ledger, in_.own_teams, *in_.objectives, in_.wall);
-        // What has waited too long begins first, each with one task, the longest wait first; room that it does not
-        // find is held for it, so that neither small nor urgent work takes what is set free.
+        // What has waited too long begins first, each with one task, the longest wait first; room that it
+        // does not find is held for it, so that neither small nor urgent work takes what is set free.
         std::vector<const JobEntry*> overdue;
         for (const JobEntry* e : queue) {
             if (must_begin(*e, in_.wall)) overdue.push_back(e);
         }
-        std::stable_sort(overdue.begin(), overdue.end(),
-                         [](const JobEntry* a, const JobEntry* b) { return a->job.accepted < b->job.accepted; });
+        std::stable_sort(overdue.begin(), overdue.end(), [](const JobEntry* a, const JobEntry* b) {
+            return a->job.accepted < b->job.accepted;
+        });
         for (const JobEntry* e : overdue) {
             if (full()) break;
             if (!backed_off(*e)) begin(*e);
@@ -148,16 +154,20 @@
         std::vector<std::size_t> order;
         for (std::size_t i = 0; i < room_.machines().size(); ++i) {
             const RoomMachine& m = room_.machines()[i];
-            if (m.usable && !m.draining && may_run_on(e.job, m) && e.job.need.fits_in(m.type->size)) order.push_back(i);
+            if (m.usable && !m.draining && may_run_on(e.job, m) && e.job.need.fits_in(m.type->size))
+                order.push_back(i);
         }
         std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-            return std::pair{-room_.machines()[a].free.cpus, a} < std::pair{-room_.machines()[b].free.cpus, b};
+            return std::pair{-room_.machines()[a].free.cpus, a} <
+                   std::pair{-room_.machines()[b].free.cpus, b};
         });
         if (e.job.one_zone && !order.empty()) {
             std::map<std::string, double> free;
-            for (const auto i : order) free[room_.machines()[i].zone] += std::max(0.0, room_.machines()[i].free.cpus);
-            const auto zone = std::max_element(free.begin(), free.end(),
-                                               [](const auto& a, const auto& b) { return a.second < b.second; })->first;
+            for (const auto i : order)
+                free[room_.machines()[i].zone] += std::max(0.0, room_.machines()[i].free.cpus);
+            const auto zone = std::max_element(free.begin(), free.end(), [](const auto& a, const auto& b) {
+                                  return a.second < b.second;
+                              })->first;
             std::erase_if(order, [&](std::size_t i) { return room_.machines()[i].zone != zone; });
         }
         std::size_t next = 0;
@@ -167,7 +177,8 @@
                 ++next;
                 continue;
             }
-            const Reservation r{room_.machines()[order[next]].id, e.job.need, in_.now + Micros{5'000'000}, true};
+            const Reservation r{room_.machines()[order[next]].id, e.job.need, in_.now + Micros{5'000'000},
+                                true};
             out_.reservations[{e.job.id, t++}] = r;
             hold(r, 1.0);
         }
@@ -256,8 +267,11 @@
     }
 
     // What decides where a job's tasks may go, the zones of its other tasks apart.
-    using Shape = std::tuple<double, double, double, bool, std::optional<std::string>, std::optional<std::vector<std::string>>>;
-    static Shape shape(const Job& j) { return {j.need.cpus, j.need.gpus, j.need.memory_gb, j.spot, j.zone, j.types}; }
+    using Shape = std::tuple<double, double, double, bool, std::optional<std::string>,
+                             std::optional<std::vector<std::string>>>;
+    static Shape shape(const Job& j) {
+        return {j.need.cpus, j.need.gpus, j.need.memory_gb, j.spot, j.zone, j.types};
+    }
 
     bool listed_on(std::size_t at, const JobEntry& e, std::uint32_t task) const {
         // An attempt of this task that is still listed there would make the worker refuse the start.
@@ -303,7 +317,9 @@
             if (held != out_.reservations.end()) {
                 hold(held->second, -1.0);
                 const auto own = room_.at(held->second.machine);
-                if (own != Room::npos && room_.machines()[own].usable && fits(own) && !listed_on(own, e, task)) at = own;
+                if (own != Room::npos && room_.machines()[own].usable && fits(own) &&
+                    !listed_on(own, e, task))
+                    at = own;
             }
             while (next < order.size() && !fits(order[next].second)) ++next;
             for (std::size_t k = next; k < order.size() && !at; ++k) {
@@ -319,7 +335,8 @@
             }
             if (held != out_.reservations.end()) {
                 out_.reservations.erase(held);
-            } else if (wait_s && fetch_s(e.job, room_.machines()[*at]) > *wait_s && preempt(e, zones, task, true)) {
+            } else if (wait_s && fetch_s(e.job, room_.machines()[*at]) > *wait_s &&
+                       preempt(e, zones, task, true)) {
                 // Its users wait no longer than this: room beside the image is worth another task's place.
                 continue;
             }
@@ -439,12 +456,16 @@
             if (!m.usable || m.draining || m.view == nullptr) continue;
             for (const auto& [ref, h] : in_.ledger->on_machine(m.id)) {
                 const Job& j = h.entry->job;
-                if (j.priority == Priority::production || j.kind == JobKind::gang || in_.stopping.contains(ref)) continue;
+                if (j.priority == Priority::production || j.kind == JobKind::gang ||
+                    in_.stopping.contains(ref))
+                    continue;
                 const auto v = view_attempt(*m.view, ref.job, ref.task, h.number, h.session);
                 if (v.fate != Fate::live || v.state == TaskState::saving) continue;
                 // Least lost first: tasks without their image, then those that save as they go.
                 const int state = v.state == TaskState::fetching ? 0 : j.checkpoint_s > 0 ? 1 : 2;
-                victims_[i].push_back({h.entry, ref.task, {h.number, m.id, h.session},
+                victims_[i].push_back({h.entry,
+                                       ref.task,
+                                       {h.number, m.id, h.session},
                                        {static_cast<int>(j.priority), state, j.need.cpus}});
             }
             std::sort(victims_[i].begin(), victims_[i].end(),
@@ -455,8 +476,12 @@
 
     bool preempt(const JobEntry& e, const ZoneUse& zones, std::uint32_t task, bool with_image = false) {
         if (out_.stops.size() >= in_.most_stops) return false;
+        // Tasks of arrays end all the time, and the queue's order gives what they leave to whom a stop would
+        // serve. Only who has waited for half the time that a guarantee allows stops others' work.
+        if (e.job.kind == JobKind::array && in_.wall - e.job.accepted < patience_) return false;
         // A search that found nothing finds nothing for the next job of that shape and claim.
-        const std::tuple key{shape(e.job), claim(e.job), e.job.team, with_image ? e.job.image : std::string{}};
+        const std::tuple key{shape(e.job), claim(e.job), e.job.team,
+                             with_image ? e.job.image : std::string{}};
         if (no_victims_.contains(key)) return false;
         std::vector<const Victim*> chosen;
         std::size_t chosen_at = 0;
@@ -465,8 +490,8 @@
         for (std::size_t i = 0; i < all.size(); ++i) {
             if (all[i].empty()) continue;
             const RoomMachine& m = room_.machines()[i];
-            if (!may_run_on(e.job, m) || !zones.allows(e.job, m.zone) || (with_image && !m.has_image(e.job.image)) ||
-                m.view->task(e.job.id, task) != nullptr) {
+            if (!may_run_on(e.job, m) || !zones.allows(e.job, m.zone) ||
+                (with_image && !m.has_image(e.job.image)) || m.view->task(e.job.id, task) != nullptr) {
                 continue;
             }
             std::vector<const Victim*> victims;
@@ -481,7 +506,8 @@
             if (n == 0 || !e.job.need.fits_in(free)) continue;
             const auto& worst = victims.back()->cost;
             const std::tuple<bool, int, int, double> cost{!m.has_image(e.job.image), std::get<0>(worst),
-                                                          static_cast<int>(n) + std::get<1>(worst), free.cpus};
+                                                          static_cast<int>(n) + std::get<1>(worst),
+                                                          free.cpus};
             if (chosen.empty() || cost < chosen_cost) {
                 chosen = std::move(victims);
                 chosen_at = i;
@@ -503,8 +529,9 @@
         }
         room_.take(chosen_at, e.job.need);
         used_[e.job.team] += e.job.need;
-        out_.reservations[{e.job.id, task}] = {room_.machines()[chosen_at].id, e.job.need,
-                                               in_.now + Micros{4'000'000 + static_cast<std::int64_t>(slowest * 1e6)}};
+        out_.reservations[{e.job.id, task}] = {
+            room_.machines()[chosen_at].id, e.job.need,
+            in_.now + Micros{4'000'000 + static_cast<std::int64_t>(slowest * 1e6)}};
         return true;
     }
 
@@ -514,6 +541,7 @@
     std::map<std::string, Amount> used_;
     std::unordered_set<std::string> guaranteed_;
     bool guarantees_known_ = false;
+    Micros patience_{};
     std::set<TaskRef> stopping_;
     std::set<TaskRef> started_;
     std::set<std::pair<const JobEntry*, std::uint32_t>> records_;
--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -29,8 +29,8 @@
     std::string machine;
     Amount need;
     Micros until{};
-    // Nothing was stopped for it: an overdue job waits for what is set free. Made anew in each pass, the oldest
-    // job first; holds that lasted let two jobs keep each other from one machine for ever.
+    // Nothing was stopped for it: an overdue job waits for what is set free. Made anew in each pass, the
+    // oldest job first; holds that lasted let two jobs keep each other from one machine for ever.
     bool waiting = false;
 };
 
@@ -43,9 +43,9 @@
     std::map<std::string, Micros> job_backoff;  // steady: until when the job's tasks are not tried
     std::map<TaskRef, Reservation> reservations;
     std::vector<Reservation> foreign;  // other owners' holds
-    std::set<TaskRef> stopping;  // told to stop for somebody's room, and not gone yet
-    Micros now{};   // steady
-    Micros wall{};  // time of day
+    std::set<TaskRef> stopping;        // told to stop for somebody's room, and not gone yet
+    Micros now{};                      // steady
+    Micros wall{};                     // time of day
     std::size_t most_starts = 48;
     std::size_t most_stops = 8;
     std::size_t most_records = 48;  // store records that the starts may touch
--- a/src/core/room.cpp
+++ b/src/core/room.cpp
@@ -46,7 +46,8 @@
 
 std::size_t Room::at(const std::string& id) const {
     const auto end = machines_.begin() + static_cast<std::ptrdiff_t>(sorted_);
-    const auto it = std::lower_bound(machines_.begin(), end, id, [](const RoomMachine& m, const std::string& i) { return m.id < i; });
+    const auto it = std::lower_bound(machines_.begin(), end, id,
+                                     [](const RoomMachine& m, const std::string& i) { return m.id < i; });
     if (it != end && it->id == id) return static_cast<std::size_t>(it - machines_.begin());
     for (std::size_t i = sorted_; i < machines_.size(); ++i) {
         if (machines_[i].id == id) return i;
--- a/src/core/room.hpp
+++ b/src/core/room.hpp
@@ -25,15 +25,14 @@
     std::uint64_t session = 0;
 
     double use() const { return type->size.cpus <= 0 ? 0 : 1 - free.cpus / type->size.cpus; }
-    bool has_image(const std::string& image) const {
-        return view != nullptr && view->images.contains(image);
-    }
+    double price() const { return spot ? type->spot_price : type->price; }
+    bool has_image(const std::string& image) const { return view != nullptr && view->images.contains(image); }
 };
 
 // What makes a machine unfit to take tasks now; filled in by whoever builds the room.
 struct Availability {
-    Micros now{};            // steady
-    Micros silent_after{};   // a machine without news for this long takes nothing new
+    Micros now{};           // steady
+    Micros silent_after{};  // a machine without news for this long takes nothing new
     std::set<std::string> draining;
     std::set<std::string> candidates;
     std::map<std::string, Micros> banned_until;  // steady: machines on which tasks failed or were refused
--- a/src/io/http.cpp
+++ b/src/io/http.cpp
@@ -39,9 +39,8 @@
         too_large = complete = keep_alive = false;
     }
     void end_header() {
-        if (field.size() == 11 && std::equal(field.begin(), field.end(), "retry-after", [](char a, char b) {
-                return (a | 0x20) == b;
-            })) {
+        if (field.size() == 11 && std::equal(field.begin(), field.end(), "retry-after",
+                                             [](char a, char b) { return (a | 0x20) == b; })) {
             std::from_chars(value.data(), value.data() + value.size(), retry_after_s);
         }
         field.clear();
@@ -108,17 +107,28 @@
 
 const char* reason(int status) {
     switch (status) {
-        case 200: return "OK";
-        case 201: return "Created";
-        case 400: return "Bad Request";
-        case 404: return "Not Found";
-        case 405: return "Method Not Allowed";
-        case 409: return "Conflict";
-        case 421: return "Misdirected Request";
-        case 422: return "Unprocessable Entity";
-        case 429: return "Too Many Requests";
-        case 503: return "Service Unavailable";
-        default: return "Status";
+        case 200:
+            return "OK";
+        case 201:
+            return "Created";
+        case 400:
+            return "Bad Request";
+        case 404:
+            return "Not Found";
+        case 405:
+            return "Method Not Allowed";
+        case 409:
+            return "Conflict";
+        case 421:
+            return "Misdirected Request";
+        case 422:
+            return "Unprocessable Entity";
+        case 429:
+            return "Too Many Requests";
+        case 503:
+            return "Service Unavailable";
+        default:
+            return "Status";
     }
 }
 
@@ -188,7 +198,8 @@
             seen += used;
             pending.erase(0, used);
             // Unbounded heads, and bodies far beyond the limit, end the connection.
-            if (m->body.empty() && !m->too_large && seen > limits_.head_bytes + limits_.body_bytes) broken = true;
+            if (m->body.empty() && !m->too_large && seen > limits_.head_bytes + limits_.body_bytes)
+                broken = true;
             if (seen > limits_.head_bytes + 16 * limits_.body_bytes) broken = true;
         }
         HttpResponse response;
--- a/src/io/http.hpp
+++ b/src/io/http.hpp
@@ -62,9 +62,10 @@
 
 class HttpClient {
   public:
-    explicit HttpClient(Loop& loop, std::size_t idle_per_address = 4) : loop_(loop), idle_limit_(idle_per_address) {}
-    Task<HttpReply> send(Address to, std::string method, std::string target, std::string body, Micros deadline,
-                         std::size_t most_bytes = 4U << 20U);
+    explicit HttpClient(Loop& loop, std::size_t idle_per_address = 4)
+        : loop_(loop), idle_limit_(idle_per_address) {}
+    Task<HttpReply> send(Address to, std::string method, std::string target, std::string body,
+                         Micros deadline, std::size_t most_bytes = 4U << 20U);
     // Closes the idle connections to somebody who is gone: their sockets count against the machine's limit.
     void forget(Address to) { idle_.erase(to); }
 
--- a/src/io/loop.hpp
+++ b/src/io/loop.hpp
@@ -16,7 +16,8 @@
 // Time of day; within the deployment's skew of true time.
 Micros wall_now();
 
-using UnlinkList = boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
+using UnlinkList =
+    boost::intrusive::list_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 using UnlinkSet = boost::intrusive::set_base_hook<boost::intrusive::link_mode<boost::intrusive::auto_unlink>>;
 
 // One suspended routine. Both hooks unlink themselves, so destroying a suspended frame takes it out of
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -17,7 +17,8 @@
 constexpr int kBadSettings = 2;
 
 void set_up_log() {
-    auto log = std::make_shared<spdlog::logger>("hatchwind", std::make_shared<spdlog::sinks::stderr_sink_st>());
+    auto log =
+        std::make_shared<spdlog::logger>("hatchwind", std::make_shared<spdlog::sinks::stderr_sink_st>());
     log->set_pattern("time=%Y-%m-%dT%H:%M:%S.%e level=%l %v");
     const char* level = std::getenv("LOG_LEVEL");
     const std::string wanted = level == nullptr ? "info" : level;
@@ -54,9 +55,11 @@
     }
     set_up_log();
     try {
-        if (config.empty()) throw service::SettingsError("--config: found nothing, allowed is the path of a settings file");
+        if (config.empty())
+            throw service::SettingsError("--config: found nothing, allowed is the path of a settings file");
         const auto settings = service::parse_settings(service::read_file(config));
-        const auto props = properties.empty() ? service::Properties{} : service::parse_properties(service::read_file(properties));
+        const auto props = properties.empty() ? service::Properties{}
+                                              : service::parse_properties(service::read_file(properties));
         const auto tunables = service::tune(props, settings);
         if (check) {
             std::printf("settings are valid\n");
--- a/src/service/budget.hpp
+++ b/src/service/budget.hpp
@@ -25,8 +25,9 @@
         refill(now);
         return left_;
     }
-    // How long until n can be spent; zero when now. Whoever then spends at once and sleeps for that time keeps its
-    // place: asking again after the sleep would let later ones pass, for ever under overload. `debt` is a part of the burst that may be owed for it.
+    // How long until n can be spent; zero when now. Whoever then spends at once and sleeps for that time
+    // keeps its place: asking again after the sleep would let later ones pass, for ever under overload.
+    // `debt` is a part of the burst that may be owed for it.
     io::Micros wait(double n, io::Micros now, double debt = 0) {
         refill(now);
         const double missing = std::min(n, burst_) - left_ - debt * burst_;
--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -84,7 +84,8 @@
             const auto v = r.status == 200 ? wire::decode(r.body) : std::nullopt;
             const auto page = v ? wire::parse_rentals(*v) : std::nullopt;
             if (!page) {
-                if (r.status == 200) spdlog::warn("event=malformed_answer from=cloud call=list count={}", ++malformed_);
+                if (r.status == 200)
+                    spdlog::warn("event=malformed_answer from=cloud call=list count={}", ++malformed_);
                 whole = false;
                 break;
             }
@@ -102,8 +103,8 @@
                 k.seen = now;
                 k.listed = true;
             }
-            // A list may be older than the one before, but once it has shown a machine it shows it until it is
-            // gone. A new one of ours is missing from it for a while.
+            // A list may be older than the one before, but once it has shown a machine it shows it until it
+            // is gone. A new one of ours is missing from it for a while.
             std::erase_if(known_, [&](const auto& k) {
                 if (n_.picture.released(k.first)) return true;
                 if (listed.contains(k.first)) return false;
@@ -155,21 +156,26 @@
         in.wall = io::wall_now();
         in.refused_until = refused_;
         for (const auto& [id, k] : known_) {
-            if (n_.picture.find(id) != nullptr || k.rental.state == core::RentalState::failed || overdue(k, now)) continue;
+            if (n_.picture.find(id) != nullptr || k.rental.state == core::RentalState::failed ||
+                overdue(k, now))
+                continue;
             in.booting.push_back(k.rental);
         }
         core::FleetSettings settings = n_.tunables.fleet;
         // As many as can be asked for in some seconds.
-        settings.most_per_round = std::max<std::size_t>(
-            settings.most_per_round, static_cast<std::size_t>(static_cast<double>(n_.picture.machines().size()) * n_.tunables.rent_share));
-        const auto wanted = core::plan_rentals(settings, in,
-                                               core::Room::build(n_.picture, n_.ledger, *n_.catalog, n_.availability()));
+        settings.most_per_round =
+            std::max<std::size_t>(settings.most_per_round,
+                                  static_cast<std::size_t>(static_cast<double>(n_.picture.machines().size()) *
+                                                           n_.tunables.rent_share));
+        const auto wanted = core::plan_rentals(
+            settings, in, core::Room::build(n_.picture, n_.ledger, *n_.catalog, n_.availability()));
         for (const auto& [pool, number] : wanted) {
             if (!n_.leads()) break;
             // Never used twice, by any life of any node: the grant names this life.
-            const std::string name = "hw-" + std::to_string(n_.epoch.number) + "-" + std::to_string(n_.self.grant) + "-" +
-                                     std::to_string(++request_);
-            const auto body = wire::encode(wire::rent_request(name, pool.type, pool.zone, pool.spot, std::min(number, 50U)));
+            const std::string name = "hw-" + std::to_string(n_.epoch.number) + "-" +
+                                     std::to_string(n_.self.grant) + "-" + std::to_string(++request_);
+            const auto body = wire::encode(
+                wire::rent_request(name, pool.type, pool.zone, pool.spot, std::min(number, 50U)));
             for (int attempt = 0; attempt < 3; ++attempt) {
                 auto task = cloud("POST", "/rentals", body);
                 const io::HttpReply r = co_await std::move(task);
@@ -185,8 +191,8 @@
                         k.rental.zone = pool.zone;
                         k.rental.spot = pool.spot;
                     }
-                    spdlog::info("event=rented type={} zone={} spot={} wanted={} got={}", pool.type, pool.zone, pool.spot,
-                                 number, names->size());
+                    spdlog::info("event=rented type={} zone={} spot={} wanted={} got={}", pool.type,
+                                 pool.zone, pool.spot, number, names->size());
                 }
                 if (names && names->size() >= std::min(number, 50U)) {
                     refusals_.erase(pool);
@@ -194,7 +200,8 @@
                     // Nothing left there, or an outage: asked again ever more seldom.
                     const int n = std::min(++refusals_[pool], 4);
                     refused_[pool] = steady_now() + seconds(2.5 * (1 << n));
-                    if (r.status == 200 && !names) spdlog::warn("event=malformed_answer from=cloud call=rent count={}", ++malformed_);
+                    if (r.status == 200 && !names)
+                        spdlog::warn("event=malformed_answer from=cloud call=rent count={}", ++malformed_);
                 }
                 break;
             }
@@ -216,7 +223,8 @@
 }
 
 Task<bool> Leader::mark(std::set<std::string> machines) {
-    // One record for all marks: with one for each machine, giving back hundreds would use up the store's writes.
+    // One record for all marks: with one for each machine, giving back hundreds would use up the store's
+    // writes.
     wire::Transaction t;
     t.conditions.emplace_back(keys::kEpoch, n_.epoch.stamp);
     t.conditions.emplace_back(keys::kDraining, n_.draining_stamp);
@@ -263,10 +271,12 @@
         // Caps grow with the fleet: a handful at a time would take hours to give back what one burst needed.
         core::DrainSettings settings = n_.tunables.drain;
         const auto fleet = static_cast<double>(n_.picture.machines().size());
-        settings.total_cap = std::min(kMarks, std::max(settings.total_cap, static_cast<std::size_t>(fleet * n_.tunables.drain_share)));
-        settings.busy_cap = std::max(settings.busy_cap, static_cast<std::size_t>(fleet * n_.tunables.drain_busy_share));
-        const auto plan = core::plan_drains(settings, in,
-                                            core::Room::build(n_.picture, n_.ledger, *n_.catalog, n_.availability()), drain_);
+        settings.total_cap = std::min(
+            kMarks, std::max(settings.total_cap, static_cast<std::size_t>(fleet * n_.tunables.drain_share)));
+        settings.busy_cap =
+            std::max(settings.busy_cap, static_cast<std::size_t>(fleet * n_.tunables.drain_busy_share));
+        const auto plan = core::plan_drains(
+            settings, in, core::Room::build(n_.picture, n_.ledger, *n_.catalog, n_.availability()), drain_);
         n_.candidates.clear();
         for (const auto& [id, since] : drain_.candidate_since) n_.candidates.insert(id);
         std::vector<std::string> chosen = plan.empty;
@@ -318,7 +328,8 @@
             Micros quiet = now - m.changed;
             // One that only sends is as good as silent: nothing can be started or stopped on it.
             const auto s = n_.suspects.find(id);
-            if (n_.fit && s != n_.suspects.end() && s->second.since.count() != 0) quiet = std::max(quiet, now - s->second.since);
+            if (n_.fit && s != n_.suspects.end() && s->second.since.count() != 0)
+                quiet = std::max(quiet, now - s->second.since);
             machines.push_back({id, std::min(quiet, now - reign_began_), !n_.ledger.on_machine(id).empty()});
         }
         std::erase_if(silent_released_, [&](Micros t) { return now - t > seconds(60); });
@@ -348,13 +359,15 @@
         // Marks of machines that are gone.
         std::set<std::string> marks = n_.draining;
         std::erase_if(marks, [&](const std::string& id) {
-            return n_.picture.released(id) || (n_.picture.find(id) == nullptr && list_fresh_ && !known_.contains(id) &&
-                                               now - reign_began_ > seconds(n_.settings.list_lag_s * 2 + 10));
+            return n_.picture.released(id) ||
+                   (n_.picture.find(id) == nullptr && list_fresh_ && !known_.contains(id) &&
+                    now - reign_began_ > seconds(n_.settings.list_lag_s * 2 + 10));
         });
         std::erase_if(emptied, [&](const auto& e) { return !marks.contains(e.first); });
         // They do no harm, so several go in one write.
         const bool worth = n_.draining.size() - marks.size() >= 20 || now - unmarked_ > seconds(10);
-        if (marks.size() == n_.draining.size() || !worth || !n_.leads() || !n_.state.reachable(steady_now())) continue;
+        if (marks.size() == n_.draining.size() || !worth || !n_.leads() || !n_.state.reachable(steady_now()))
+            continue;
         unmarked_ = now;
         auto task = mark(std::move(marks));
         co_await std::move(task);
--- a/src/service/leader.hpp
+++ b/src/service/leader.hpp
@@ -13,7 +13,8 @@
 
 class Leader {
   public:
-    Leader(Node& n, Replica& r) : n_(n), replica_(r), budget_(n.settings.cloud_rps * 0.9, n.settings.cloud_rps) {}
+    Leader(Node& n, Replica& r)
+        : n_(n), replica_(r), budget_(n.settings.cloud_rps * 0.9, n.settings.cloud_rps) {}
     // Every node needs the machine types, for submissions too.
     io::Task<void> keep_catalog();
     io::Task<void> keep_list();
@@ -24,8 +25,8 @@
   private:
     struct Known {
         core::Rental rental;
-        io::Micros rented{0};   // steady: when it was asked for, as far as known
-        io::Micros seen{0};     // steady: last time that a list showed it
+        io::Micros rented{0};  // steady: when it was asked for, as far as known
+        io::Micros seen{0};    // steady: last time that a list showed it
         bool listed = false;
     };
     io::Task<io::HttpReply> cloud(std::string method, std::string target, std::string body);
--- a/src/service/membership.cpp
+++ b/src/service/membership.cpp
@@ -46,7 +46,8 @@
         }
         co_await n_.loop.sleep(n_.tunables.renew_every);
         const auto own = n_.nodes.find(n_.self.label);
-        if (n_.synced && n_.revision >= key_stamp_ && (own == n_.nodes.end() || own->second.grant != n_.self.grant)) {
+        if (n_.synced && n_.revision >= key_stamp_ &&
+            (own == n_.nodes.end() || own->second.grant != n_.self.grant)) {
             // Whatever took the key: without it the others may remove this node.
             spdlog::warn("event=key_lost grant={}", n_.self.grant);
             n_.mandate.lost();
@@ -90,7 +91,8 @@
 Task<void> Membership::write_epoch(core::EpochPlan plan) {
     wire::Transaction t;
     t.conditions.emplace_back(keys::kEpoch, n_.epoch.stamp);
-    for (const auto& [label, stamp] : plan.node_conditions) t.conditions.emplace_back(keys::node(label), stamp);
+    for (const auto& [label, stamp] : plan.node_conditions)
+        t.conditions.emplace_back(keys::node(label), stamp);
     t.writes.push_back({keys::kEpoch, wire::epoch_record(plan.next), 0});
     writing_ = true;
     const core::Stamp on = n_.epoch.stamp;
--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -41,7 +41,8 @@
 void Mesh::push(Link& link, const std::string& frame) {
     if (!link.connected) return;
     if (link.out.size() > static_cast<std::size_t>(n_.settings.memory_mb * 1024 * 1024) / kQueueParts) {
-        // A peer that does not read: what it misses, the full picture makes good as soon as it has read the rest.
+        // A peer that does not read: what it misses, the full picture makes good as soon as it has read the
+        // rest.
         link.missed = true;
         return;
     }
@@ -100,9 +101,9 @@
             const Micros deadline = steady_now() + kSilence;
             const bool sent = co_await socket->write(batch, deadline);
             if (!sent || socket->is_stale()) break;
-            // After a cut, or behind a peer that was killed in one, writes vanish into a connection that never
-            // fails. Only the peer's word that it hears us shows that it does: without tables from every
-            // member no lease ever counts as over, and what was lost stays lost.
+            // After a cut, or behind a peer that was killed in one, writes vanish into a connection that
+            // never fails. Only the peer's word that it hears us shows that it does: without tables from
+            // every member no lease ever counts as over, and what was lost stays lost.
             if (steady_now() - link.confirmed > kUnconfirmed) {
                 spdlog::info("event=mesh_unconfirmed peer={}", link.peer.label);
                 break;
@@ -138,7 +139,8 @@
         while (auto m = frames.next()) {
             if (from.empty()) {
                 const auto* hello = std::get_if<wire::MeshHello>(&*m);
-                if (hello == nullptr || hello->version != wire::kMeshVersion || !links_.contains(hello->label)) {
+                if (hello == nullptr || hello->version != wire::kMeshVersion ||
+                    !links_.contains(hello->label)) {
                     spdlog::warn("event=mesh_stranger");
                     co_return;
                 }
@@ -193,8 +195,10 @@
         membership_.promise_received(from, *promise);
     } else if (auto* hold = std::get_if<wire::MeshHold>(&m)) {
         if (n_.foreign_holds.size() > 512) return;
-        const Micros until = steady_now() + std::min(Micros{static_cast<std::int64_t>(hold->for_us)}, Micros{10'000'000});
-        n_.foreign_holds[{hold->job, hold->task}] = {hold->machine, {hold->cpus, hold->gpus, hold->memory_gb}, until, hold->waiting};
+        const Micros until =
+            steady_now() + std::min(Micros{static_cast<std::int64_t>(hold->for_us)}, Micros{10'000'000});
+        n_.foreign_holds[{hold->job, hold->task}] = {
+            hold->machine, {hold->cpus, hold->gpus, hold->memory_gb}, until, hold->waiting};
     }
 }
 
@@ -227,8 +231,10 @@
             for (const auto& [machine, at] : n_.answered_here) {
                 if (at >= link->answered_until) b.answered.emplace_back(machine, at.count());
             }
-            const auto news = std::min<std::uint64_t>(n_.released_count - link->released_told, n_.released_log.size());
-            b.released.assign(n_.released_log.end() - static_cast<std::ptrdiff_t>(news), n_.released_log.end());
+            const auto news =
+                std::min<std::uint64_t>(n_.released_count - link->released_told, n_.released_log.size());
+            b.released.assign(n_.released_log.end() - static_cast<std::ptrdiff_t>(news),
+                              n_.released_log.end());
             push(*link, b);
             // If the link has no room this beat is lost, and fill() starts the tables anew.
             link->answered_until = Micros{b.wall_us};
--- a/src/service/mesh.hpp
+++ b/src/service/mesh.hpp
@@ -26,7 +26,7 @@
         std::string out;  // frames that wait; bounded
         io::Signal filled;
         bool connected = false;
-        bool missed = false;  // something found no room in the queue
+        bool missed = false;              // something found no room in the queue
         io::Micros answered_until{0};     // the table told on this connection goes so far
         std::uint64_t released_told = 0;  // likewise the log of releases
         io::Micros confirmed{0};  // steady: when the peer last said that it hears us, or the link was made
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -46,21 +46,25 @@
 
 bool Node::peer_fresh(const std::string& label, Micros now) const {
     const auto it = peers.find(label);
-    return it != peers.end() && it->second.received.count() != 0 && now - it->second.received < Micros{1'800'000};
+    return it != peers.end() && it->second.received.count() != 0 &&
+           now - it->second.received < Micros{1'800'000};
 }
 
-Micros Node::doubt_after() const { return Micros{static_cast<std::int64_t>((settings.report_s * 2 + 6) * 1e6)}; }
+Micros Node::doubt_after() const {
+    return Micros{static_cast<std::int64_t>((settings.report_s * 2 + 6) * 1e6)};
+}
 
 std::size_t Node::workers_here() const {
     const Micros since = io::wall_now() - Micros{static_cast<std::int64_t>(settings.report_s * 1.5e6)};
-    return static_cast<std::size_t>(
-        std::count_if(answered_here.begin(), answered_here.end(), [&](const auto& a) { return a.second >= since; }));
+    return static_cast<std::size_t>(std::count_if(answered_here.begin(), answered_here.end(),
+                                                  [&](const auto& a) { return a.second >= since; }));
 }
 
 bool Node::absorb(core::WorkerReport r, Micros heard, bool answer, bool confirmed) {
     const core::MachineView* before = picture.find(r.machine);
     const bool known = before != nullptr;
-    const auto old_content = known ? std::pair{before->last.session, before->content_tick} : std::pair<std::uint64_t, std::uint64_t>{};
+    const auto old_content = known ? std::pair{before->last.session, before->content_tick}
+                                   : std::pair<std::uint64_t, std::uint64_t>{};
     const auto old_token = known ? before->last.token : 0;
     const bool was_confirmed = known && before->confirmed;
     const Micros now = io::steady_now();
@@ -97,8 +101,8 @@
     const std::string machine = r.machine;
     const std::uint64_t tick = r.tick;
     if (answered) {
-        // Even the answer to a late copy may have renewed a lease, as far as this node can tell: it bounds the
-        // lease's end, and proves nothing about the machine.
+        // Even the answer to a late copy may have renewed a lease, as far as this node can tell: it bounds
+        // the lease's end, and proves nothing about the machine.
         answered_here[machine] = wall;
         auto& any = answered_any[machine];
         any = std::max(any, wall);
@@ -127,7 +131,8 @@
     const auto type = view == nullptr ? core::Catalog::const_iterator{} : catalog->find(view->last.type);
     if (view == nullptr || type == catalog->end()) return;
     for (const auto& [image, gb] : m.images) {
-        if (!view->images.contains(image)) picture.note_image(machine, image, gb, type->second.cache_gb, io::steady_now());
+        if (!view->images.contains(image))
+            picture.note_image(machine, image, gb, type->second.cache_gb, io::steady_now());
     }
 }
 
@@ -169,7 +174,8 @@
     // The latest moment at which anyone may have answered: this life, what others told, and for lives that
     // are members no longer, the time at which the epoch that removed them was written.
     Micros last = std::max(epoch.removed_at, synced_wall);
-    if (const auto it = answered_any.find(machine); it != answered_any.end()) last = std::max(it->second, epoch.removed_at);
+    if (const auto it = answered_any.find(machine); it != answered_any.end())
+        last = std::max(it->second, epoch.removed_at);
     const double margin_s = 1.0 + settings.lease_s * 0.002 + settings.skew_ms * 0.004;
     const Micros end = last + Micros{static_cast<std::int64_t>((settings.lease_s + margin_s) * 1e6)};
     if (wall < end) return false;
@@ -177,7 +183,8 @@
     for (const auto& m : epoch.members) {
         if (m.label == self.label) continue;
         const auto p = peers.find(m.label);
-        if (p == peers.end() || p->second.beat.grant != m.grant || p->second.beat.wall_us < end.count()) return false;
+        if (p == peers.end() || p->second.beat.grant != m.grant || p->second.beat.wall_us < end.count())
+            return false;
     }
     return true;
 }
@@ -190,7 +197,8 @@
     a.candidates = candidates;
     // One that reports but does not answer gets nothing new: its lease runs out on its own side.
     for (const auto& [machine, s] : suspects) {
-        if (s.since.count() != 0 && a.now - s.since > Micros{2'000'000}) a.banned_until[machine] = Micros::max();
+        if (s.since.count() != 0 && a.now - s.since > Micros{2'000'000})
+            a.banned_until[machine] = Micros::max();
     }
     return a;
 }
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -39,8 +39,8 @@
     core::Ledger ledger;
     core::Epoch epoch;
     std::map<std::string, core::NodeRecord> nodes;
-    std::set<std::string> draining;               // machines marked in the store, all in one record
-    core::Stamp draining_stamp = 0;               // of that record
+    std::set<std::string> draining;  // machines marked in the store, all in one record
+    core::Stamp draining_stamp = 0;  // of that record
     core::Stamp revision = 0;
     bool synced = false;
     io::Signal advanced;  // the copy has moved
@@ -54,11 +54,11 @@
     // Time of day at which each worker was last answered by this life, and by any node that told us.
     std::map<std::string, io::Micros> answered_here;
     std::map<std::string, io::Micros> answered_any;
-    std::set<std::string> candidates;       // the leader's drain candidates, as last heard
+    std::set<std::string> candidates;  // the leader's drain candidates, as last heard
     // Room that other owners are clearing for their tasks.
     std::map<core::TaskRef, core::Reservation> foreign_holds;
-    std::deque<std::string> released_log;   // newest last, bounded
-    std::uint64_t released_count = 0;       // ever put into the log
+    std::deque<std::string> released_log;  // newest last, bounded
+    std::uint64_t released_count = 0;      // ever put into the log
     // Machines that did not answer our last request, though somebody hears them; see Workers::keep_reach().
     struct Suspect {
         io::Micros since{0};  // steady; 0: nothing is known against it, it was only never asked
@@ -73,8 +73,9 @@
 
     io::Signal work;        // something changed that placing may care about
     io::Signal fleet_work;  // likewise for the leader's renting
-    std::function<void(const core::MachineView&, io::Micros heard, bool whole)> forward;  // to the other nodes
-    std::function<void(const wire::MeshHold&)> announce_hold;                  // likewise
+    std::function<void(const core::MachineView&, io::Micros heard, bool whole)>
+        forward;                                               // to the other nodes
+    std::function<void(const wire::MeshHold&)> announce_hold;  // likewise
 
     // May this life answer workers, send orders and place?
     bool acting() const;
@@ -82,8 +83,8 @@
     bool owns(const std::string& team) const;
     bool peer_fresh(const std::string& label, io::Micros now) const;
 
-    // Takes a report that reached this node itself. `answered`: it was sent to us and gets a 200; otherwise it
-    // is the answer to a request of ours, and so no late copy.
+    // Takes a report that reached this node itself. `answered`: it was sent to us and gets a 200; otherwise
+    // it is the answer to a request of ours, and so no late copy.
     void take_report(core::WorkerReport r, bool answered);
     void take_forward(wire::MeshReport m);
     void take_alive(const wire::MeshAlive& m);
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -18,7 +18,7 @@
 constexpr Micros kResendStop{1'000'000};
 constexpr Micros kEndsWait{4'000'000};
 constexpr Micros kEmptyPages{3'000'000};
-constexpr double kChunksPerPage = 4;             // about so many are written together
+constexpr double kChunksPerPage = 4;  // about so many are written together
 // A page is written and read whole on every node for each change: larger ones save writes and cost time.
 constexpr std::size_t kPageBytes = 5 * 1024;
 constexpr std::size_t kTxnBytes = 56 * 1024;  // of the JSON form
@@ -32,8 +32,8 @@
     return it->second;
 }
 
-void Owner::close(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task, const core::Attempt& a,
-                  bool done) {
+void Owner::close(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task,
+                  const core::Attempt& a, bool done) {
     Record& r = stage(s, e, chunk);
     r.closed.push_back({e.job.id, task, a});
     // A task that has to start again waits for this record; one that is done waits for nothing.
@@ -54,8 +54,12 @@
             // Another owner was faster; its record arrives by the watch.
             m.until = std::max(m.until, now + Micros{1'000'000});
             break;
-        case ExitCause::busy: m.until = std::max(m.until, now + Micros{5'000'000}); break;
-        case ExitCause::unknown: job_trouble_[e.job.id].until = now + Micros{3'000'000}; break;
+        case ExitCause::busy:
+            m.until = std::max(m.until, now + Micros{5'000'000});
+            break;
+        case ExitCause::unknown:
+            job_trouble_[e.job.id].until = now + Micros{3'000'000};
+            break;
         case ExitCause::error: {
             // A faulty machine fails many jobs' tasks, a job with a mistake fails on many machines: both are
             // tried ever more seldom, and neither stops the other for long.
@@ -68,15 +72,17 @@
             // Errors of jobs that fail elsewhere too say little about this machine.
             const bool machine_suspect = m.jobs.size() >= 2 || j.jobs.size() < 2;
             if (machine_suspect) m.until = now + Micros{2'000'000} * (1 << m.errors);
-            spdlog::info("event=task_error job={} machine={} job_errors={} machine_errors={}", e.job.id, a.machine,
-                         j.errors, m.errors);
+            spdlog::info("event=task_error job={} machine={} job_errors={} machine_errors={}", e.job.id,
+                         a.machine, j.errors, m.errors);
             break;
         }
-        default: break;
+        default:
+            break;
     }
 }
 
-void Owner::stop(const std::string& job, std::uint32_t task, const core::Attempt& a, double grace_s, Micros every) {
+void Owner::stop(const std::string& job, std::uint32_t task, const core::Attempt& a, double grace_s,
+                 Micros every) {
     Memo& memo = memos_[{job, task}];
     const Micros now = steady_now();
     if (memo.number != a.number) memo = Memo{a.number, Micros{0}, Micros{0}};
@@ -90,8 +96,8 @@
     const Micros now = steady_now();
     const auto v = core::view_attempt(n_.picture, e.job.id, task, a);
     const core::MachineView* view = n_.picture.find(a.machine);
-    // Whatever its last report said of the task: when many machines fall silent at once nobody releases them, and
-    // what ran on them has ended with their leases.
+    // Whatever its last report said of the task: when many machines fall silent at once nobody releases them,
+    // and what ran on them has ended with their leases.
     const bool quiet = view == nullptr || now - view->changed > Micros{3'000'000};
     if (quiet && v.fate != Fate::exited && v.fate != Fate::gone && n_.lease_over(a.machine, io::wall_now())) {
         spdlog::info("event=lease_over job={} task={} machine={}", e.job.id, task, a.machine);
@@ -103,7 +109,9 @@
             note_exit(e, a, v.cause);
             close(s, e, chunk, task, a, v.cause == ExitCause::done && e.job.kind != core::JobKind::service);
             return;
-        case Fate::gone: close(s, e, chunk, task, a, false); return;
+        case Fate::gone:
+            close(s, e, chunk, task, a, false);
+            return;
         case Fate::silent:
         case Fate::unlisted: {
             if (v.fate == Fate::silent) return;
@@ -111,16 +119,19 @@
             if (memo.number != a.number) memo = Memo{a.number, Micros{0}, Micros{0}};
             if (e.job.cancelled) {
                 // Not started, and nothing of it under way under any token that the worker still takes.
-                if (!workers_.start_pending(e.job.id, task, a.number) && view->last.token >= n_.epoch.number) {
+                if (!workers_.start_pending(e.job.id, task, a.number) &&
+                    view->last.token >= n_.epoch.number) {
                     close(s, e, chunk, task, a, false);
                 } else if (now - memo.last_stop >= kResendStop) {
-                    // Brings the worker to this token, and ends a start that is under way as soon as it arrives:
-                    // the same start first, so that the stop has something to end.
+                    // Brings the worker to this token, and ends a start that is under way as soon as it
+                    // arrives: the same start first, so that the stop has something to end.
                     memo.last_stop = now;
                     if (workers_.start_pending(e.job.id, task, a.number)) {
-                        workers_.order(a.machine, a.session, {core::OrderKind::start, e.job.id, task, a.number, 0});
+                        workers_.order(a.machine, a.session,
+                                       {core::OrderKind::start, e.job.id, task, a.number, 0});
                     }
-                    workers_.order(a.machine, a.session, {core::OrderKind::stop, e.job.id, task, a.number, 0});
+                    workers_.order(a.machine, a.session,
+                                   {core::OrderKind::stop, e.job.id, task, a.number, 0});
                 }
                 return;
             }
@@ -131,7 +142,8 @@
             }
             return;
         }
-        case Fate::live: break;
+        case Fate::live:
+            break;
     }
     if (e.job.cancelled) {
         stop(e.job.id, task, a, 0, kResendStop);
@@ -140,14 +152,17 @@
     const core::MachineView* m = view;
     const bool saves = e.job.checkpoint_s > 0 && v.state == TaskState::running;
     if (m->notice_until && v.state != TaskState::saving) {
-        // The cloud takes the machine: save at the last moment that surely suffices; what cannot save runs on.
+        // The cloud takes the machine: save at the last moment that surely suffices; what cannot save runs
+        // on.
         const Micros need{static_cast<std::int64_t>((e.job.save_s + 3.0) * 1e6)};
-        if (saves && *m->notice_until - now < need) stop(e.job.id, task, a, e.job.save_s + 1.0, kResendStop * 5);
+        if (saves && *m->notice_until - now < need)
+            stop(e.job.id, task, a, e.job.save_s + 1.0, kResendStop * 5);
         if (v.state == TaskState::fetching) stop(e.job.id, task, a, 0, kResendStop);
     } else if (n_.draining.contains(a.machine) && v.state != TaskState::saving) {
         // Draining: what saves is moved, services are moved, plain tasks may finish what they have done.
         if (saves) stop(e.job.id, task, a, e.job.save_s + 1.0, kResendStop * 5);
-        if (e.job.kind == core::JobKind::service || v.state == TaskState::fetching) stop(e.job.id, task, a, 0, kResendStop);
+        if (e.job.kind == core::JobKind::service || v.state == TaskState::fetching)
+            stop(e.job.id, task, a, 0, kResendStop);
     }
 }
 
@@ -163,7 +178,8 @@
             const auto& c = it->second.chunk;
             const auto old = e.chunks.find(it->first.second);
             done += c.done.size() - (old == e.chunks.end() ? 0 : old->second.done.size());
-            open -= static_cast<std::uint32_t>((old == e.chunks.end() ? 0 : old->second.open.size()) - c.open.size());
+            open -= static_cast<std::uint32_t>((old == e.chunks.end() ? 0 : old->second.open.size()) -
+                                               c.open.size());
         }
         if (done == e.job.tasks || (e.job.cancelled && open == 0)) s.finished.push_back(id);
     }
@@ -174,7 +190,7 @@
     in.most_records = records;
     // A pass starts what one transaction records; more would hold up what comes after it.
     in.most_starts = std::max<std::size_t>(in.most_starts, n_.settings.txn_ops * 8);
-    in.most_stops = std::max<std::size_t>(in.most_stops, n_.picture.machines().size() / 32);
+    in.most_stops = std::max<std::size_t>(in.most_stops, n_.picture.machines().size() / 100);
     in.ledger = &n_.ledger;
     in.picture = &n_.picture;
     in.teams = &n_.settings.teams;
@@ -198,8 +214,8 @@
         if (t.until > in.now) availability.banned_until[id] = t.until;
     }
     core::Room room = core::Room::build(n_.picture, n_.ledger, *n_.catalog, availability);
-    // Room that another owner has cleared: without this the victim's owner, which hears of the exit as soon as
-    // anyone, puts the task right back and is stopped again, over and over.
+    // Room that another owner has cleared: without this the victim's owner, which hears of the exit as soon
+    // as anyone, puts the task right back and is stopped again, over and over.
     std::erase_if(n_.foreign_holds, [&](const auto& h) {
         const core::Attempt* a = n_.ledger.open_attempt(h.first.job, h.first.task);
         return h.second.until <= in.now || (a != nullptr && a->machine == h.second.machine);
@@ -225,7 +241,8 @@
     }
     for (const auto& st : result.stops) {
         spdlog::debug("event=preempt job={} task={} machine={}", st.job, st.task, st.attempt.machine);
-        stopping_[{st.job, st.task}] = in.now + Micros{2'000'000 + static_cast<std::int64_t>(st.grace_s * 1e6)};
+        stopping_[{st.job, st.task}] =
+            in.now + Micros{2'000'000 + static_cast<std::int64_t>(st.grace_s * 1e6)};
         workers_.order(st.attempt.machine, st.attempt.session,
                        {core::OrderKind::stop, st.job, st.task, st.attempt.number, st.grace_s});
     }
@@ -236,8 +253,8 @@
     std::vector<Unit> out;
     const Micros now = steady_now();
     std::set<std::string> ending(s.finished.begin(), s.finished.end());
-    // Finished jobs: the end state replaces the job's record in one step. What its pages say of it leaves with
-    // their next writes.
+    // Finished jobs: the end state replaces the job's record in one step. What its pages say of it leaves
+    // with their next writes.
     for (const auto& id : s.finished) {
         const core::JobEntry& e = *n_.ledger.find(id);
         const auto status = e.job.cancelled ? wire::JobStatus::cancelled : wire::JobStatus::done;
@@ -313,11 +330,13 @@
         u.rank = 5;
         std::map<core::ChunkKey, const core::Chunk*> content;
         const auto known = n_.ledger.pages().find(page);
-        u.conditions.emplace_back(keys::page(page), known == n_.ledger.pages().end() ? 0 : known->second.stamp);
+        u.conditions.emplace_back(keys::page(page),
+                                  known == n_.ledger.pages().end() ? 0 : known->second.stamp);
         if (known != n_.ledger.pages().end()) {
             for (const auto& chunk : known->second.chunks) {
                 const core::JobEntry* e = n_.ledger.find(chunk.first);
-                if (e != nullptr && !ending.contains(chunk.first)) content[chunk] = &e->chunks.at(chunk.second);
+                if (e != nullptr && !ending.contains(chunk.first))
+                    content[chunk] = &e->chunks.at(chunk.second);
             }
         }
         for (const core::ChunkKey* key : keys_here) {
@@ -327,12 +346,13 @@
             int rank = 0;
             if (!r.started.empty()) {
                 rank = production ? 0 : 2;
-                // A cancel that comes first must keep the start from being recorded; and so must the job's end.
+                // A cancel that comes first must keep the start from being recorded; and so must the job's
+                // end.
                 const std::pair<std::string, core::Stamp> condition{keys::job(key->first), e.stamp};
                 if (u.conditions.back() != condition) u.conditions.push_back(condition);
             } else {
-                // Ends of tasks alone are told by the worker until they are reaped. They wait for company, since
-                // each write of a page counts the same however much it says.
+                // Ends of tasks alone are told by the worker until they are reaped. They wait for company,
+                // since each write of a page counts the same however much it says.
                 const Micros since = waiting_since_.try_emplace(*key, now).first->second;
                 rank = r.urgent ? (production ? 0 : 1) : now - since > kEndsWait ? 3 : 4;
             }
@@ -342,7 +362,8 @@
             u.closed.insert(u.closed.end(), r.closed.begin(), r.closed.end());
             u.started.insert(u.started.end(), r.started.begin(), r.started.end());
         }
-        for (const auto& [key, c] : content) u.bytes += 60 + key.first.size() + c->open.size() * (name + 14) + c->done.ranges().size() * 8;
+        for (const auto& [key, c] : content)
+            u.bytes += 60 + key.first.size() + c->open.size() * (name + 14) + c->done.ranges().size() * 8;
         u.effects.push_back({keys::page(page), wire::page_record(content), 0});
         out.push_back(std::move(u));
     }
@@ -361,8 +382,9 @@
         for (; next < all.size(); ++next) {
             const Unit& u = all[next];
             const std::size_t writes = u.effects.size() + u.extra.size();
-            if (next != first && (t.writes.size() + writes > most || t.conditions.size() + u.conditions.size() > 4 * most ||
-                                  bytes + u.bytes > kTxnBytes)) {
+            if (next != first &&
+                (t.writes.size() + writes > most || t.conditions.size() + u.conditions.size() > 4 * most ||
+                 bytes + u.bytes > kTxnBytes)) {
                 break;
             }
             t.conditions.insert(t.conditions.end(), u.conditions.begin(), u.conditions.end());
@@ -442,16 +464,19 @@
             seen[key] = first;
             if (t.state == TaskState::exited) {
                 if (first < n_.epoch.number) {
-                    workers_.order(id, m.last.session, {core::OrderKind::forget, t.job, t.task, t.attempt, 0});
+                    workers_.order(id, m.last.session,
+                                   {core::OrderKind::forget, t.job, t.task, t.attempt, 0});
                 }
             } else if (before != strays_.end()) {
-                spdlog::warn("event=stray_task job={} task={} attempt={} machine={}", t.job, t.task, t.attempt, id);
+                spdlog::warn("event=stray_task job={} task={} attempt={} machine={}", t.job, t.task,
+                             t.attempt, id);
                 workers_.order(id, m.last.session, {core::OrderKind::stop, t.job, t.task, t.attempt, 0});
             }
         }
     }
     strays_ = std::move(seen);
-    std::erase_if(memos_, [&](const auto& m) { return n_.ledger.open_attempt(m.first.job, m.first.task) == nullptr; });
+    std::erase_if(
+        memos_, [&](const auto& m) { return n_.ledger.open_attempt(m.first.job, m.first.task) == nullptr; });
     std::erase_if(job_trouble_, [&](const auto& t) { return n_.ledger.find(t.first) == nullptr; });
     std::erase_if(machine_trouble_, [&](const auto& t) { return n_.picture.find(t.first) == nullptr; });
 }
@@ -459,8 +484,8 @@
 Task<void> Owner::run() {
     while (true) {
         co_await n_.work.wait(steady_now() + Micros{400'000});
-        // Close changes share one pass and one group commit. A pass that takes long on this machine leaves the
-        // time of two more to reports, users and renewals.
+        // Close changes share one pass and one group commit. A pass that takes long on this machine leaves
+        // the time of two more to reports, users and renewals.
         co_await n_.loop.sleep(std::max(n_.tunables.pass_gap, 2 * last_pass_));
         if (!n_.acting() || !n_.catalog) continue;
         if (epoch_seen_ != n_.epoch.number) {
@@ -479,7 +504,8 @@
             const double bear = std::max(6.0, spare + n_.state.write_rate() * 0.5);
             const std::size_t pressing = s.finished.size() * 2;
             const std::size_t deferred =
-                place(s, static_cast<std::size_t>(std::max(6.0, kChunksPerPage * (bear - static_cast<double>(pressing)))));
+                place(s, static_cast<std::size_t>(
+                             std::max(6.0, kChunksPerPage * (bear - static_cast<double>(pressing)))));
             auto all = units(s);
             double sum = 0;
             double left_out = 0;
@@ -492,8 +518,9 @@
             });
             n_.state.set_backlog(left_out + static_cast<double>(deferred));
             last_pass_ = std::min(steady_now() - began, Micros{1'000'000});
-            spdlog::debug("event=pass took_us={} units={} writes={} left_out={} deferred={} spare={:.1f} rate={:.1f}",
-                          last_pass_.count(), all.size(), sum, left_out, deferred, spare, n_.state.write_rate());
+            spdlog::debug(
+                "event=pass took_us={} units={} writes={} left_out={} deferred={} spare={:.1f} rate={:.1f}",
+                last_pass_.count(), all.size(), sum, left_out, deferred, spare, n_.state.write_rate());
             if (!all.empty()) {
                 auto task = commit(std::move(all));
                 const bool ok = co_await std::move(task);
@@ -505,7 +532,8 @@
         }
         reap();
         // Pages that only speak of jobs that are over.
-        if (steady_now() - last_emptied_ < kEmptyPages || !n_.acting() || n_.state.spare_writes() < 4) continue;
+        if (steady_now() - last_emptied_ < kEmptyPages || !n_.acting() || n_.state.spare_writes() < 4)
+            continue;
         last_emptied_ = steady_now();
         wire::Transaction t;
         std::vector<wire::StoreItem> effects;
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -59,8 +59,8 @@
     void settle_attempt(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task,
                         const core::Attempt& a);
     void note_exit(const core::JobEntry& e, const core::Attempt& a, core::ExitCause cause);
-    void close(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task, const core::Attempt& a,
-               bool done);
+    void close(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task,
+               const core::Attempt& a, bool done);
     Record& stage(Staged& s, const core::JobEntry& e, std::uint32_t chunk);
     // Returns how many jobs were left for another pass.
     std::size_t place(Staged& s, std::size_t records);
@@ -68,7 +68,8 @@
     // False when the pass must begin anew.
     io::Task<bool> commit(std::vector<Unit> all);
     void reap();
-    void stop(const std::string& job, std::uint32_t task, const core::Attempt& a, double grace_s, io::Micros every);
+    void stop(const std::string& job, std::uint32_t task, const core::Attempt& a, double grace_s,
+              io::Micros every);
 
     Node& n_;
     Replica& replica_;
@@ -78,7 +79,7 @@
     std::map<std::string, Trouble> job_trouble_;
     std::map<core::TaskRef, core::Reservation> reservations_;
     std::map<core::TaskRef, io::Micros> announced_;  // until when the others know of a reservation
-    std::map<core::TaskRef, io::Micros> stopping_;  // until when a stop for room may take
+    std::map<core::TaskRef, io::Micros> stopping_;   // until when a stop for room may take
     std::vector<Closed> to_reap_;
     std::map<ChunkKey, io::Micros> waiting_since_;  // ends that wait for company
     io::Micros last_pass_{0};
--- a/src/service/replica.cpp
+++ b/src/service/replica.cpp
@@ -24,8 +24,8 @@
         auto e = wire::parse_epoch_record(*item.value, item.stamp);
         ok = e.has_value();
         if (ok && e->stamp > n_.epoch.stamp) {
-            spdlog::info("event=epoch number={} leader={} members={} at={}", e->number, e->leader, e->members.size(),
-                         item.stamp);
+            spdlog::info("event=epoch number={} leader={} members={} at={}", e->number, e->leader,
+                         e->members.size(), item.stamp);
             n_.epoch = std::move(*e);
             n_.epoch_seen = steady_now();
         }
@@ -49,7 +49,8 @@
     } else if (key.starts_with(kRun)) {
         const auto team_end = key.rfind('/');
         const core::PageKey page{std::string(key.substr(kRun.size(), team_end - kRun.size())),
-                                 static_cast<std::uint32_t>(std::strtoul(std::string(key.substr(team_end + 1)).c_str(), nullptr, 10))};
+                                 static_cast<std::uint32_t>(std::strtoul(
+                                     std::string(key.substr(team_end + 1)).c_str(), nullptr, 10))};
         ok = team_end > kRun.size() && page.second != 0;
         if (ok && item.value) {
             auto chunks = wire::parse_page_record(*item.value);
@@ -70,7 +71,8 @@
 }
 
 Task<bool> Replica::load() {
-    // Until it is whole the old copy serves: it is old, never wrong, and whoever needs more waits for its revision.
+    // Until it is whole the old copy serves: it is old, never wrong, and whoever needs more waits for its
+    // revision.
     std::vector<wire::StoreItem> all;
     std::string after;
     core::Stamp first = 0;
@@ -154,7 +156,8 @@
         reading_ = true;
         // Reads count against the request budget: polls that come close together share one.
         const auto nodes = static_cast<double>(n_.peers.size() + 1);
-        const Micros next = last_read_ + Micros{static_cast<std::int64_t>(nodes * 4e6 / n_.settings.state_rps)};
+        const Micros next =
+            last_read_ + Micros{static_cast<std::int64_t>(nodes * 4e6 / n_.settings.state_rps)};
         if (next > steady_now()) co_await n_.loop.sleep(next - steady_now());
         last_read_ = steady_now();
         read_sent_ = true;
--- a/src/service/replica.hpp
+++ b/src/service/replica.hpp
@@ -10,7 +10,9 @@
 constexpr const char* kEpoch = "h/epoch";
 inline std::string node(const std::string& label) { return "h/node/" + label; }
 inline std::string job(const std::string& id) { return "h/job/" + id; }
-inline std::string page(const core::PageKey& p) { return "h/run/" + p.first + "/" + std::to_string(p.second); }
+inline std::string page(const core::PageKey& p) {
+    return "h/run/" + p.first + "/" + std::to_string(p.second);
+}
 constexpr const char* kDraining = "h/draining";
 inline std::string final(const std::string& id) { return "f/" + id; }
 }  // namespace keys
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -30,7 +30,8 @@
       users_(node_, replica_),
       owner_(node_, replica_, workers_),
       leader_(node_, replica_),
-      server_(loop, node_.settings.api, limits(node_.settings), [this](HttpRequest r) { return handle(std::move(r)); }) {}
+      server_(loop, node_.settings.api, limits(node_.settings),
+              [this](HttpRequest r) { return handle(std::move(r)); }) {}
 
 void Service::start() {
     scope_.spawn(server_.serve());
--- a/src/service/settings.cpp
+++ b/src/service/settings.cpp
@@ -35,11 +35,13 @@
         return Node{*it, join(key)};
     }
     std::string text() const {
-        if (!v_.is_string() || v_.get_ref<const std::string&>().empty()) fail(path_, shown(v_), "text that is not empty");
+        if (!v_.is_string() || v_.get_ref<const std::string&>().empty())
+            fail(path_, shown(v_), "text that is not empty");
         return v_.get<std::string>();
     }
     double number(double least, double most) const {
-        if (!v_.is_number() || !std::isfinite(v_.get<double>()) || v_.get<double>() < least || v_.get<double>() > most) {
+        if (!v_.is_number() || !std::isfinite(v_.get<double>()) || v_.get<double>() < least ||
+            v_.get<double>() > most) {
             std::ostringstream allowed;
             allowed << "a number from " << least << " to " << most;
             fail(path_, shown(v_), allowed.str());
@@ -200,7 +202,8 @@
 Tunables tune(const Properties& p, const Settings& s) {
     Tunables t;
     Properties left = p;
-    const auto take = [&](const char* key, double least, double most, const std::function<void(double)>& use) {
+    const auto take = [&](const char* key, double least, double most,
+                          const std::function<void(double)>& use) {
         const auto it = left.find(key);
         if (it == left.end()) return;
         double v = 0;
@@ -220,7 +223,8 @@
     const auto count = [&](const char* key, double least, double most, std::size_t& into) {
         take(key, least, most, [&](double v) { into = static_cast<std::size_t>(v); });
     };
-    // Silence that long means more than one lost report and one change of node (4 s and 1 s on the workers' side).
+    // Silence that long means more than one lost report and one change of node (4 s and 1 s on the workers'
+    // side).
     t.silent_release = core::Micros{static_cast<std::int64_t>((s.report_s * 2 + 8) * 1e6)};
     seconds("mandate.grant_seconds", 0.5, 60, t.grant_life);
     seconds("mandate.renew_seconds", 0.1, 30, t.renew_every);
@@ -243,7 +247,8 @@
     take("drain.total_share", 0, 1, [&](double v) { t.drain_share = v; });
     take("drain.busy_share", 0, 1, [&](double v) { t.drain_busy_share = v; });
     if (!left.empty()) fail(left.begin()->first, "an unknown key", "a key that docs/operations.md lists");
-    if (t.renew_every * 2 > t.grant_life) fail("mandate.renew_seconds", "too long", "at most half of mandate.grant_seconds");
+    if (t.renew_every * 2 > t.grant_life)
+        fail("mandate.renew_seconds", "too long", "at most half of mandate.grant_seconds");
     return t;
 }
 
--- a/src/service/state_client.cpp
+++ b/src/service/state_client.cpp
@@ -13,7 +13,7 @@
 namespace {
 constexpr Micros kCall{2'000'000};
 constexpr double kUsersPart = 0.1;  // of the write limit
-}
+}  // namespace
 
 StateClient::StateClient(io::Loop& loop, const Settings& s)
     : loop_(loop), settings_(s), http_(loop, 6), requests_(1, 1), writes_(1, 1), user_writes_(1, 1) {
@@ -26,15 +26,16 @@
     requests_.set(settings_.state_rps * 0.9 / n, std::max(4.0, settings_.state_rps * 0.5 / n));
     const double rate = settings_.state_write_rps * 0.92 * (1 - kUsersPart) * writes;
     writes_.set(rate, std::max(4.0, rate * 0.9));
-    // Users' acceptances and cancels have a part of their own: behind an owner's transaction of dozens of writes
-    // one that takes milliseconds waited for seconds.
+    // Users' acceptances and cancels have a part of their own: behind an owner's transaction of dozens of
+    // writes one that takes milliseconds waited for seconds.
     const double users = settings_.state_write_rps * kUsersPart / n;
     user_writes_.set(users, std::max(3.0, users * 3));
 }
 
 void StateClient::want(double writes) {
     const Micros now = steady_now();
-    if (demand_at_.count() != 0) demand_ *= std::exp(-static_cast<double>((now - demand_at_).count()) / 1e6 / kDemandSpan);
+    if (demand_at_.count() != 0)
+        demand_ *= std::exp(-static_cast<double>((now - demand_at_).count()) / 1e6 / kDemandSpan);
     demand_at_ = now;
     demand_ = std::min(demand_ + writes, settings_.state_write_rps * kDemandSpan);
 }
@@ -45,8 +46,9 @@
     return failing_since_.count() == 0 || now - failing_since_ < Micros{600'000};
 }
 
-Task<io::HttpReply> StateClient::call(std::string method, std::string target, std::string body, Micros deadline,
-                                      double writes, bool urgent, std::size_t most, bool for_user) {
+Task<io::HttpReply> StateClient::call(std::string method, std::string target, std::string body,
+                                      Micros deadline, double writes, bool urgent, std::size_t most,
+                                      bool for_user) {
     io::HttpReply reply;
     if (!urgent) {
         const Micros now = steady_now();
@@ -69,7 +71,8 @@
     } else {
         requests_.spend(1, steady_now());
     }
-    auto task = http_.send(settings_.state, std::move(method), std::move(target), std::move(body), deadline, most);
+    auto task =
+        http_.send(settings_.state, std::move(method), std::move(target), std::move(body), deadline, most);
     reply = co_await std::move(task);
     const Micros now = steady_now();
     if (reply.status == 0 || reply.status == 503) {
@@ -128,8 +131,8 @@
     CommitResult out;
     const auto writes = static_cast<double>(t.writes.size());
     want(writes);
-    auto task = call("POST", "/commit", wire::encode(wire::transaction_request(t)), deadline, writes, false, 4U << 20U,
-                     for_user);
+    auto task = call("POST", "/commit", wire::encode(wire::transaction_request(t)), deadline, writes, false,
+                     4U << 20U, for_user);
     const io::HttpReply r = co_await std::move(task);
     if (r.status == 429 || r.status == 503 || r.never_sent) {
         out.outcome = Commit::not_now;
@@ -177,7 +180,8 @@
                          "&blockMs=" + std::to_string(block.count() / 1000);
     // Open watches stay open through an outage, so silence is no failure; but a watch behind a cut must end.
     auto task = call("GET", std::move(target), "", steady_now() + block + Micros{3'000'000}, 0, true,
-                     std::max<std::size_t>(1U << 20U, static_cast<std::size_t>(settings_.memory_mb * 1024 * 1024 / 48)));
+                     std::max<std::size_t>(
+                         256U << 10U, static_cast<std::size_t>(settings_.memory_mb * 1024 * 1024 / 128)));
     const io::HttpReply r = co_await std::move(task);
     // An answer has no bound: after a long cut it holds all that was written since, many times what the store
     // holds, and reading it once ended a small node for want of memory. The store itself comes in pages.
--- a/src/service/state_client.hpp
+++ b/src/service/state_client.hpp
@@ -65,8 +65,9 @@
     std::uint64_t malformed() const { return malformed_; }
 
   private:
-    io::Task<io::HttpReply> call(std::string method, std::string target, std::string body, io::Micros deadline,
-                                 double writes, bool urgent, std::size_t most = 4U << 20U, bool for_user = false);
+    io::Task<io::HttpReply> call(std::string method, std::string target, std::string body,
+                                 io::Micros deadline, double writes, bool urgent,
+                                 std::size_t most = 4U << 20U, bool for_user = false);
     std::optional<wire::Json> parse(const io::HttpReply& r, const char* what);
 
     io::Loop& loop_;
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -54,7 +54,8 @@
     }
     if (!fits) return "fits no allowed machine type";
     const double k = j.kind == core::JobKind::array ? 1.0 : static_cast<double>(j.tasks);
-    if (j.need.cpus * k > team->second.cpus_max + core::kSlack || j.need.gpus * k > team->second.gpus_max + core::kSlack) {
+    if (j.need.cpus * k > team->second.cpus_max + core::kSlack ||
+        j.need.gpus * k > team->second.gpus_max + core::kSlack) {
         return "needs more than the team's limit";
     }
     return std::nullopt;
--- a/src/service/workers.cpp
+++ b/src/service/workers.cpp
@@ -31,8 +31,8 @@
         out.status = 421;
         const Micros now = steady_now();
         for (const auto& m : n_.epoch.members) {
-            if (m.label != n_.self.label && n_.peer_fresh(m.label, now) && n_.peers[m.label].beat.grant == m.grant &&
-                n_.peers[m.label].beat.fit) {
+            if (m.label != n_.self.label && n_.peer_fresh(m.label, now) &&
+                n_.peers[m.label].beat.grant == m.grant && n_.peers[m.label].beat.fit) {
                 out.body = wire::encode(wire::home_answer(m.label));
                 break;
             }
@@ -75,7 +75,8 @@
 void Workers::settle_copy(const core::Order& o, std::uint64_t epoch) {
     if (o.kind != core::OrderKind::start) return;
     const auto it = unanswered_.find({o.job, o.task, o.attempt});
-    if (it != unanswered_.end() && it->second.epoch == epoch && --it->second.copies == 0) unanswered_.erase(it);
+    if (it != unanswered_.end() && it->second.epoch == epoch && --it->second.copies == 0)
+        unanswered_.erase(it);
 }
 
 void Workers::absorb_answer(const std::string& body) {
@@ -120,7 +121,8 @@
             n_.work.notify_all();
         } else {
             n_.note_unanswered(machine);
-            spdlog::debug("event=order_unanswered machine={} status={} orders={}", machine, reply.status, orders.size());
+            spdlog::debug("event=order_unanswered machine={} status={} orders={}", machine, reply.status,
+                          orders.size());
         }
         if (unanswered_.size() > 4096) {
             std::erase_if(unanswered_, [&](const auto& u) { return u.second.epoch != n_.epoch.number; });
@@ -139,7 +141,8 @@
         n_.suspects.erase(machine);
         co_return;
     }
-    auto task = n_.workers_http.send(*address, "GET", "/status", "", steady_now() + Micros{1'500'000}, 256 * 1024);
+    auto task =
+        n_.workers_http.send(*address, "GET", "/status", "", steady_now() + Micros{1'500'000}, 256 * 1024);
     const io::HttpReply reply = co_await std::move(task);
     if (reply.status == 200) {
         absorb_answer(reply.body);
@@ -195,7 +198,8 @@
         bool reached = false;
         for (std::size_t i = 0; i < 2 && !reached; ++i) {
             const io::Address a = others[turn++ % others.size()];
-            auto task = n_.workers_http.send(a, "GET", "/status", "", steady_now() + Micros{900'000}, 256 * 1024);
+            auto task =
+                n_.workers_http.send(a, "GET", "/status", "", steady_now() + Micros{900'000}, 256 * 1024);
             const io::HttpReply reply = co_await std::move(task);
             if (reply.status == 200) {
                 reached = true;
--- a/src/service/workers.hpp
+++ b/src/service/workers.hpp
@@ -38,8 +38,8 @@
     Node& n_;
     io::Scope& scope_;
     std::map<std::string, Outbox> outboxes_;
-    // Copies of a start that were sent under an epoch and not answered. Each of them may still arrive: one that
-    // came after a reap would start the task again.
+    // Copies of a start that were sent under an epoch and not answered. Each of them may still arrive: one
+    // that came after a reap would start the task again.
     struct Sent {
         std::uint64_t epoch = 0;
         std::uint32_t copies = 0;
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -43,7 +43,8 @@
 std::optional<Json> decode(std::string_view body) {
     Json out;
     BoundedSax sax{out};
-    if (!Json::sax_parse(body.begin(), body.end(), &sax, Json::input_format_t::cbor, true)) return std::nullopt;
+    if (!Json::sax_parse(body.begin(), body.end(), &sax, Json::input_format_t::cbor, true))
+        return std::nullopt;
     return out;
 }
 
@@ -63,7 +64,8 @@
     const Json* f = field(map, key);
     if (f == nullptr) return std::nullopt;
     if (f->is_number_unsigned()) return f->get<std::uint64_t>();
-    if (f->is_number_integer() && f->get<std::int64_t>() >= 0) return static_cast<std::uint64_t>(f->get<std::int64_t>());
+    if (f->is_number_integer() && f->get<std::int64_t>() >= 0)
+        return static_cast<std::uint64_t>(f->get<std::int64_t>());
     return std::nullopt;
 }
 
--- a/src/wire/mesh_codec.cpp
+++ b/src/wire/mesh_codec.cpp
@@ -250,7 +250,9 @@
             out = m;
             break;
         }
-        case Kind::beat: out = get_beat(r); break;
+        case Kind::beat:
+            out = get_beat(r);
+            break;
         case Kind::report:
             if (auto m = get_report(r)) out = std::move(*m);
             break;
@@ -300,8 +302,8 @@
 }  // namespace
 
 std::string encode_frame(const MeshMessage& m) {
-    static constexpr Kind kinds[] = {Kind::hello, Kind::beat, Kind::report, Kind::ask, Kind::promise,
-                                     Kind::hold,  Kind::alive};
+    static constexpr Kind kinds[] = {Kind::hello,   Kind::beat, Kind::report, Kind::ask,
+                                     Kind::promise, Kind::hold, Kind::alive};
     Writer w{kinds[m.index()]};
     std::visit([&](const auto& v) { put(w, v); }, m);
     return w.frame();
--- a/src/wire/mesh_codec.hpp
+++ b/src/wire/mesh_codec.hpp
@@ -38,8 +38,8 @@
     std::vector<std::string> released;                           // machines that the cloud confirmed as gone
     std::vector<std::string> candidates;                         // leader only: the drain planner's set
     std::vector<std::string> hears;                              // nodes whose beats reach this one
-    std::uint64_t demand = 0;             // store writes wanted a second, in tenths
-    std::uint64_t workers = 0;            // workers that report to this node
+    std::uint64_t demand = 0;                                    // store writes wanted a second, in tenths
+    std::uint64_t workers = 0;                                   // workers that report to this node
     std::vector<std::string> unanswered;  // machines that report but do not answer this node
     friend bool operator==(const MeshBeat&, const MeshBeat&) = default;
 };
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -42,9 +42,12 @@
 
 const char* order_name(core::OrderKind k) {
     switch (k) {
-        case core::OrderKind::start: return "start";
-        case core::OrderKind::stop: return "halt";
-        case core::OrderKind::forget: return "reap";
+        case core::OrderKind::start:
+            return "start";
+        case core::OrderKind::stop:
+            return "halt";
+        case core::OrderKind::forget:
+            return "reap";
     }
     return "";
 }
@@ -159,10 +162,14 @@
 
 const char* status_name(JobStatus s) {
     switch (s) {
-        case JobStatus::queued: return "queued";
-        case JobStatus::running: return "running";
-        case JobStatus::done: return "done";
-        case JobStatus::cancelled: return "cancelled";
+        case JobStatus::queued:
+            return "queued";
+        case JobStatus::running:
+            return "running";
+        case JobStatus::done:
+            return "done";
+        case JobStatus::cancelled:
+            return "cancelled";
     }
     return "";
 }
@@ -270,7 +277,8 @@
         m.fetch_gb_per_s = std::max(1e-3, number(t, "fetchGbPerS").value_or(1));
         m.price = *price;
         m.spot_price = number(t, "marketPrice").value_or(*price);
-        m.boot = core::Micros{static_cast<std::int64_t>(std::clamp(number(t, "startupS").value_or(30), 0.0, 1e5) * 1e6)};
+        m.boot = core::Micros{
+            static_cast<std::int64_t>(std::clamp(number(t, "startupS").value_or(30), 0.0, 1e5) * 1e6)};
         const auto zones = texts(list(t, "roosts"));
         if (!zones) return std::nullopt;
         m.zones = *zones;
@@ -487,7 +495,8 @@
     const auto leader = text(v, "leader");
     const Json* members = list(v, "members");
     const auto removed = whole(v, "removed");
-    if (!number || !leader || members == nullptr || !removed || !v.contains("owners") || !v["owners"].is_object()) {
+    if (!number || !leader || members == nullptr || !removed || !v.contains("owners") ||
+        !v["owners"].is_object()) {
         return std::nullopt;
     }
     e.number = *number;
@@ -495,7 +504,8 @@
     e.removed_at = core::Micros{static_cast<std::int64_t>(*removed)};
     e.stamp = stamp;
     for (const auto& m : *members) {
-        if (!m.is_array() || m.size() != 2 || !m[0].is_string() || !m[1].is_number_unsigned()) return std::nullopt;
+        if (!m.is_array() || m.size() != 2 || !m[0].is_string() || !m[1].is_number_unsigned())
+            return std::nullopt;
         e.members.push_back({m[0].get<std::string>(), m[1].get<std::uint64_t>()});
     }
     for (const auto& [team, owner] : v["owners"].items()) {
--- a/tests/epoch_test.cpp
+++ b/tests/epoch_test.cpp
@@ -80,15 +80,26 @@
             deliver();
             const int i = *rc::gen::inRange(0, 3);
             switch (*rc::gen::inRange(0, 16)) {
-                case 0: crash_and_boot(i); break;
-                case 1: refused_[i] = !refused_[i]; break;
-                case 2: outage(!down_); break;
-                case 3: cut_[i] = !cut_[i]; break;
-                case 4: deaf_[i] = !deaf_[i]; break;  // what it sends arrives, but no answer does
+                case 0:
+                    crash_and_boot(i);
+                    break;
+                case 1:
+                    refused_[i] = !refused_[i];
+                    break;
+                case 2:
+                    outage(!down_);
+                    break;
+                case 3:
+                    cut_[i] = !cut_[i];
+                    break;
+                case 4:
+                    deaf_[i] = !deaf_[i];
+                    break;  // what it sends arrives, but no answer does
                 case 5:
                     for (int n = 0; n < 3; ++n) crash_and_boot(n);
                     break;
-                default: break;
+                default:
+                    break;
             }
             for (int n = 0; n < 3; ++n) act(n);
             check();
@@ -205,7 +216,8 @@
         if (reached && l.self.grant == 0) {
             const std::uint64_t grant = ++next_grant_;
             grants_[grant] = now_ + kLife;
-            const KeyPut put{l.self.label, grant, key_stamp(l.self.label), now_ + Micros{*rc::gen::inRange(0, 4'000'000)}};
+            const KeyPut put{l.self.label, grant, key_stamp(l.self.label),
+                             now_ + Micros{*rc::gen::inRange(0, 4'000'000)}};
             const int luck = *rc::gen::inRange(0, 4);
             if (luck <= 1) late_puts_.push_back(put);
             if (luck == 0) return;  // no answer: it begins again with another grant
@@ -227,7 +239,8 @@
             for (int k = 0; k < 3; ++k) {
                 if (k == i || cut_[i] || cut_[k]) continue;
                 Life& p = lives_[k];
-                const bool may = p.self.grant != 0 && p.failing.count() != 0 && now_ - p.failing >= Micros{600'000} &&
+                const bool may = p.self.grant != 0 && p.failing.count() != 0 &&
+                                 now_ - p.failing >= Micros{600'000} &&
                                  !(p.unresolved && *p.unresolved == epoch_.stamp);
                 if (!may) continue;
                 p.promised[l.self.label] = now_ + kPromise;
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -108,7 +108,8 @@
     run(e.loop, [&]() -> Task<void> {
         io::HttpClient client{e.loop};
         for (int i = 0; i < 3; ++i) {
-            auto task = client.send(e.address, "POST", "/x", "body" + std::to_string(i), io::steady_now() + Micros{5'000'000});
+            auto task = client.send(e.address, "POST", "/x", "body" + std::to_string(i),
+                                    io::steady_now() + Micros{5'000'000});
             const auto r = co_await std::move(task);
             EXPECT_EQ(r.status, 200);
             EXPECT_EQ(r.body, "POST /x body" + std::to_string(i));
@@ -122,7 +123,8 @@
     Echo e;
     run(e.loop, [&]() -> Task<void> {
         io::HttpClient client{e.loop};
-        auto big = client.send(e.address, "POST", "/x", std::string(100'000, 'x'), io::steady_now() + Micros{5'000'000});
+        auto big = client.send(e.address, "POST", "/x", std::string(100'000, 'x'),
+                               io::steady_now() + Micros{5'000'000});
         const auto r = co_await std::move(big);
         EXPECT_EQ(r.status, 400);
         for (const std::string bad : {"NONSENSE\r\n\r\n", "GET / HTTP/1.1\r\nContent-Length: x\r\n\r\n"}) {
@@ -153,7 +155,8 @@
             auto connecting = io::connect(e.loop, e.address, io::steady_now() + Micros{1'000'000});
             auto socket = co_await std::move(connecting);
             EXPECT_TRUE(socket.has_value());
-            const std::string text = endless ? "GET / HTTP/1.1\r\nX: " + std::string(200'000, 'x') : "GET / HT";
+            const std::string text =
+                endless ? "GET / HTTP/1.1\r\nX: " + std::string(200'000, 'x') : "GET / HT";
             auto writing = socket->write(text, io::steady_now() + Micros{1'000'000});
             co_await std::move(writing);
             char buffer[512];
@@ -172,7 +175,8 @@
     io::Loop loop;
     run(loop, [&]() -> Task<void> {
         io::HttpClient client{loop};
-        auto task = client.send(test::local(test::free_port()), "GET", "/", "", io::steady_now() + Micros{1'000'000});
+        auto task =
+            client.send(test::local(test::free_port()), "GET", "/", "", io::steady_now() + Micros{1'000'000});
         const auto r = co_await std::move(task);
         EXPECT_EQ(r.status, 0);
         EXPECT_TRUE(r.never_sent);
@@ -181,7 +185,8 @@
 
 TEST(Address, ReadsIpAndPortOnly) {
     EXPECT_TRUE(io::parse_address("10.0.0.1:80").has_value());
-    for (const char* bad : {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:99999", "host:80", "10.0.0:80", "10.0.0.1:8x"}) {
+    for (const char* bad : {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:99999", "host:80",
+                            "10.0.0:80", "10.0.0.1:8x"}) {
         EXPECT_FALSE(io::parse_address(bad).has_value()) << bad;
     }
 }
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -16,7 +16,8 @@
         for (const auto v : values) RC_ASSERT(r.insert(v) == model.insert(v).second);
         RC_ASSERT(r.size() == model.size());
         for (std::uint32_t v = 0; v < 256; ++v) RC_ASSERT(r.contains(v) == model.contains(v));
-        for (auto it = r.ranges().begin(); it != r.ranges().end() && std::next(it) != r.ranges().end(); ++it) {
+        for (auto it = r.ranges().begin(); it != r.ranges().end() && std::next(it) != r.ranges().end();
+             ++it) {
             RC_ASSERT(it->second + 1 < std::next(it)->first);
         }
     });
@@ -39,7 +40,8 @@
             const auto index = static_cast<std::uint32_t>(*rc::gen::inRange(0, 4));
             core::Chunk c = store[index];
             c.stamp = static_cast<core::Stamp>(i + 2);
-            const std::uint32_t task = index * core::kChunkTasks + static_cast<std::uint32_t>(*rc::gen::inRange(0, 8));
+            const std::uint32_t task =
+                index * core::kChunkTasks + static_cast<std::uint32_t>(*rc::gen::inRange(0, 8));
             if (c.open.erase(task) != 0) {
                 if (*rc::gen::arbitrary<bool>()) c.done.insert(task);
             } else if (!c.done.contains(task)) {
@@ -52,7 +54,8 @@
         for (const auto& c : changes) {
             if (*rc::gen::arbitrary<bool>()) order.push_back(c);
         }
-        for (std::size_t i = order.size(); i > 1; --i) std::swap(order[i - 1], order[*rc::gen::inRange<std::size_t>(0, i)]);
+        for (std::size_t i = order.size(); i > 1; --i)
+            std::swap(order[i - 1], order[*rc::gen::inRange<std::size_t>(0, i)]);
         for (const auto& [index, c] : order) l.put_chunk("req-1", index, *c.chunk);
 
         std::uint32_t open = 0;
@@ -72,7 +75,8 @@
             for (const auto& [ref, held] : l.on_machine(m)) {
                 there.insert(ref);
                 const auto* a = l.open_attempt(ref.job, ref.task);
-                RC_ASSERT(held.entry == e && a != nullptr && a->number == held.number && a->session == held.session);
+                RC_ASSERT(held.entry == e && a != nullptr && a->number == held.number &&
+                          a->session == held.session);
             }
             RC_ASSERT(there == where[m]);
         }
@@ -146,7 +150,8 @@
     const core::Attempt old{1, "n-1", 1};
     EXPECT_EQ(core::view_attempt(p, "req-1", 0, old).fate, core::Fate::gone);
     const core::Attempt current{2, "n-1", 2};
-    EXPECT_EQ(core::view_attempt(p, "req-1", 0, current).fate, core::Fate::unlisted) << "a missing task proves nothing";
+    EXPECT_EQ(core::view_attempt(p, "req-1", 0, current).fate, core::Fate::unlisted)
+        << "a missing task proves nothing";
     p.release("n-1");
     r.tick = 9;
     EXPECT_FALSE(p.apply(r, core::Micros{4}, core::Micros{4}));
--- a/tests/mesh_codec_test.cpp
+++ b/tests/mesh_codec_test.cpp
@@ -17,7 +17,8 @@
     b.fit = *rc::gen::arbitrary<bool>();
     const int n = *rc::gen::inRange(0, 5);
     for (int i = 0; i < n; ++i) {
-        b.answered.emplace_back(*rc::gen::arbitrary<std::string>(), b.wall_us - *rc::gen::inRange<std::int64_t>(-1000, 100'000'000));
+        b.answered.emplace_back(*rc::gen::arbitrary<std::string>(),
+                                b.wall_us - *rc::gen::inRange<std::int64_t>(-1000, 100'000'000));
         b.released.push_back(*rc::gen::arbitrary<std::string>());
         b.hears.push_back(*rc::gen::arbitrary<std::string>());
     }
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -60,7 +60,8 @@
 TEST(Placement, NeverUsesDrainingMachinesAndCandidatesLast) {
     Cluster c;
     c.teams["x"] = {"x", 8, 24, 0, 0};
-    for (const char* id : {"n-1", "n-2", "n-3"}) c.picture.apply(test::report(id, "small", "a"), c.now, c.now);
+    for (const char* id : {"n-1", "n-2", "n-3"})
+        c.picture.apply(test::report(id, "small", "a"), c.now, c.now);
     c.ledger.put_job(test::job("req-1", "x", 2, 4), 1);
     core::Availability a;
     a.now = c.now;
@@ -77,7 +78,8 @@
 TEST(Placement, PrefersAMachineThatHasTheImage) {
     Cluster c;
     c.teams["x"] = {"x", 8, 24, 0, 0};
-    for (const char* id : {"n-1", "n-2", "n-3"}) c.picture.apply(test::report(id, "small", "a", true), c.now, c.now);
+    for (const char* id : {"n-1", "n-2", "n-3"})
+        c.picture.apply(test::report(id, "small", "a", true), c.now, c.now);
     c.picture.note_image("n-3", "img", 1, 20, c.now);
     c.ledger.put_job(test::job("req-1", "x", 1, 1), 1);
     core::Room room = c.room();
@@ -89,7 +91,8 @@
 // Under overload the job that waited longest was always served first, and each was late in its turn.
 TEST(Placement, WhatCanStillBeInTimeGoesBeforeWhatIsLate) {
     core::Ledger l;
-    const std::vector<core::Objective> objectives{{"finished", "c", 100, 0.9, 1}, {"finished", "c", 300, 0.9, 1}};
+    const std::vector<core::Objective> objectives{{"finished", "c", 100, 0.9, 1},
+                                                  {"finished", "c", 300, 0.9, 1}};
     auto late = test::job("req-1", "x", 1, 1);
     auto fresh = test::job("req-2", "x", 1, 1);
     fresh.accepted = late.accepted + Micros{90'000'000};
@@ -107,7 +110,8 @@
 // Work that has missed all its wishes moved behind every newcomer, for as long as newcomers came.
 TEST(Placement, WhatIsLateByAllItsWishesIsNotPassedForEver) {
     core::Ledger l;
-    const std::vector<core::Objective> objectives{{"finished", "c", 100, 0.9, 1}, {"finished", "c", 300, 0.9, 1}};
+    const std::vector<core::Objective> objectives{{"finished", "c", 100, 0.9, 1},
+                                                  {"finished", "c", 300, 0.9, 1}};
     auto late = test::job("req-1", "x", 1, 1);
     late.priority = core::Priority::best_effort;
     l.put_job(late, 1);
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -36,8 +36,10 @@
         const core::Room room = c.room();
         (void)core::plan_drains(s, drain_input(c), room, state);
         RC_TAG(state.candidate_since.size());
-        RC_ASSERT(room.machines().size() - state.candidate_since.size() >= std::min(s.fleet_minimum, room.machines().size()));
-        // Every task on a candidate has a destination that stays, allows it, and has the room for all of them.
+        RC_ASSERT(room.machines().size() - state.candidate_since.size() >=
+                  std::min(s.fleet_minimum, room.machines().size()));
+        // Every task on a candidate has a destination that stays, allows it, and has the room for all of
+        // them.
         std::map<std::string, core::Amount> free;
         for (const auto& m : room.machines()) free[m.id] = m.free;
         std::map<std::string, core::ZoneUse> zones;
@@ -66,7 +68,8 @@
         }
         // The caller's room is untouched: trials leave no trace.
         const core::Room again = c.room();
-        for (const auto& m : room.machines()) RC_ASSERT(std::abs(m.free.cpus - again.find(m.id)->free.cpus) < 1e-9);
+        for (const auto& m : room.machines())
+            RC_ASSERT(std::abs(m.free.cpus - again.find(m.id)->free.cpus) < 1e-9);
     });
 }
 
@@ -83,7 +86,8 @@
             room.take(at, {static_cast<double>(*rc::gen::inRange(-3, 4)), 0, 1});
         }
         room.revert(mark);
-        for (std::size_t i = 0; i < before.size(); ++i) RC_ASSERT(std::abs(room.machines()[i].free.cpus - before[i]) < 1e-9);
+        for (std::size_t i = 0; i < before.size(); ++i)
+            RC_ASSERT(std::abs(room.machines()[i].free.cpus - before[i]) < 1e-9);
     });
 }
 
@@ -145,9 +149,22 @@
     EXPECT_TRUE(state.candidate_since.empty());
 }
 
+TEST(DrainPlanner, GivesBackTheDearestOfEquals) {
+    Cluster c;
+    c.picture.apply(test::report("n-1", "small", "a", true), c.now, c.now);
+    c.picture.apply(test::report("n-2", "small", "a", false), c.now, c.now);
+    c.picture.apply(test::report("n-3", "small", "a", true), c.now, c.now);
+    core::DrainSettings s;
+    s.total_cap = 1;
+    s.unneeded = Micros{0};
+    core::DrainState state;
+    EXPECT_EQ(core::plan_drains(s, drain_input(c), c.room(), state).empty, std::vector<std::string>{"n-2"});
+}
+
 TEST(DrainPlanner, StopsAtItsTimeBound) {
     Cluster c;
-    for (int i = 0; i < 5; ++i) c.picture.apply(test::report("n-" + std::to_string(i), "small", "a"), c.now, c.now);
+    for (int i = 0; i < 5; ++i)
+        c.picture.apply(test::report("n-" + std::to_string(i), "small", "a"), c.now, c.now);
     core::DrainState state;
     auto in = drain_input(c);
     int left = 2;
@@ -168,7 +185,8 @@
     machines[0].holds_tasks = true;
     EXPECT_TRUE(core::releasable(machines, limit, 5).empty()) << "enough were given back within the minute";
     // A zone is cut: its machines reach the limit one after the other, and none of them may go.
-    for (std::size_t i = 1; i < 12; ++i) machines[i].silent_for = Micros{6'000'000 + static_cast<std::int64_t>(i) * 100'000};
+    for (std::size_t i = 1; i < 12; ++i)
+        machines[i].silent_for = Micros{6'000'000 + static_cast<std::int64_t>(i) * 100'000};
     EXPECT_TRUE(core::releasable(machines, limit, 0).empty());
 }
 
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -28,7 +28,9 @@
     for (int i = 0; i < n; ++i) {
         ++r.tick;
         switch (*rc::gen::inRange(0, 6)) {
-            case 0: r.tasks.push_back(running("req-" + std::to_string(*rc::gen::inRange(0, 3)), 0, ++attempt)); break;
+            case 0:
+                r.tasks.push_back(running("req-" + std::to_string(*rc::gen::inRange(0, 3)), 0, ++attempt));
+                break;
             case 1:
                 if (!r.tasks.empty()) r.tasks.back().state = core::TaskState::exited;
                 break;
@@ -39,8 +41,11 @@
                 ++r.session;
                 r.tasks.clear();
                 break;
-            case 4: ++r.token; break;
-            default: break;
+            case 4:
+                ++r.token;
+                break;
+            default:
+                break;
         }
         out.push_back(r);
     }
@@ -81,7 +86,8 @@
                     if (v.fate == core::Fate::gone) gone.insert(key);
                     RC_ASSERT(!gone.contains(key) || v.fate == core::Fate::gone);
                     const auto* listed = m->task(t.job, t.task);
-                    RC_ASSERT(v.fate != core::Fate::live || (listed != nullptr && listed->attempt == t.attempt));
+                    RC_ASSERT(v.fate != core::Fate::live ||
+                              (listed != nullptr && listed->attempt == t.attempt));
                 }
             }
         }
@@ -215,7 +221,8 @@
             c.now += Micros{1'000'000};
             // About twice what the 28 CPUs can do.
             if (second % 3 == 0 && second < 300) {
-                auto j = test::job("req-" + std::to_string(1000 + next++), *rc::gen::element<std::string>("x", "y"), 1, 1);
+                auto j = test::job("req-" + std::to_string(1000 + next++),
+                                   *rc::gen::element<std::string>("x", "y"), 1, 1);
                 const int kind = *rc::gen::inRange(0, 10);
                 j.accepted = c.now;
                 j.estimate_s = 10;
@@ -239,7 +246,8 @@
             const auto record = [&](const std::string& job, std::uint32_t chunk) -> core::Chunk& {
                 const auto* e = c.ledger.find(job);
                 const auto old = e->chunks.find(chunk);
-                return records.try_emplace({job, chunk}, old == e->chunks.end() ? core::Chunk{} : old->second).first->second;
+                return records.try_emplace({job, chunk}, old == e->chunks.end() ? core::Chunk{} : old->second)
+                    .first->second;
             };
             for (auto& [id, r] : reports) {
                 std::erase_if(r.tasks, [&](const core::TaskReport& t) {
@@ -282,7 +290,8 @@
                 chunk.open[s.task] = s.attempt;
                 chunk.last_attempt = std::max(chunk.last_attempt, s.attempt.number);
                 reports[s.attempt.machine].tasks.push_back(running(s.job, s.task, s.attempt.number));
-                ends[s.job + "/" + std::to_string(s.task)] = c.now + Micros{*rc::gen::inRange(5, 20) * 1'000'000};
+                ends[s.job + "/" + std::to_string(s.task)] =
+                    c.now + Micros{*rc::gen::inRange(5, 20) * 1'000'000};
                 accepted.erase(s.job);
             }
             commit();
@@ -290,11 +299,14 @@
                 if (c.now - since > bound) {
                     const auto& j = c.ledger.find(id)->job;
                     std::string why;
-                    for (const auto& [ref, r] : reservations) why += " hold " + ref.job + "/" + std::to_string(ref.task) + "@" + r.machine;
+                    for (const auto& [ref, r] : reservations)
+                        why += " hold " + ref.job + "/" + std::to_string(ref.task) + "@" + r.machine;
                     const core::Room now_free = c.room();
-                    for (const auto& m : now_free.machines()) why += " free " + m.id + "=" + std::to_string(m.free.cpus);
-                    RC_FAIL(id + " has not begun: " + std::to_string(j.need.cpus) + " CPUs x " + std::to_string(j.tasks) +
-                            (j.kind == core::JobKind::gang ? " gang" : "") + " at " + std::to_string(second) + why);
+                    for (const auto& m : now_free.machines())
+                        why += " free " + m.id + "=" + std::to_string(m.free.cpus);
+                    RC_FAIL(id + " has not begun: " + std::to_string(j.need.cpus) + " CPUs x " +
+                            std::to_string(j.tasks) + (j.kind == core::JobKind::gang ? " gang" : "") +
+                            " at " + std::to_string(second) + why);
                 }
             }
         }
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -18,9 +18,11 @@
 class Site {
   public:
     // The node that is behind relays sees store and peers only through them; see cut_off().
-    explicit Site(int nodes, int relayed = -1) : state(loop), cloud(loop, [this](std::string id, std::string zone) {
-        return std::make_unique<test::WorkerStandIn>(loop, world, std::move(id), std::move(zone), addresses_, labels_);
-    }) {
+    explicit Site(int nodes, int relayed = -1)
+        : state(loop), cloud(loop, [this](std::string id, std::string zone) {
+              return std::make_unique<test::WorkerStandIn>(loop, world, std::move(id), std::move(zone),
+                                                           addresses_, labels_);
+          }) {
         spdlog::set_level(std::getenv("TEST_LOG") != nullptr ? spdlog::level::debug : spdlog::level::off);
         for (int i = 0; i < nodes; ++i) {
             labels_.push_back("n" + std::to_string(i));
@@ -30,7 +32,8 @@
         if (relayed >= 0) {
             relayed_ = static_cast<std::size_t>(relayed);
             state_relay_ = std::make_unique<test::Relay>(loop, state.address);
-            for (int i = 0; i < nodes; ++i) relays_.push_back(std::make_unique<test::Relay>(loop, mesh_[static_cast<std::size_t>(i)]));
+            for (int i = 0; i < nodes; ++i)
+                relays_.push_back(std::make_unique<test::Relay>(loop, mesh_[static_cast<std::size_t>(i)]));
         }
         services_.resize(static_cast<std::size_t>(nodes));
         for (int i = 0; i < nodes; ++i) start(static_cast<std::size_t>(i));
@@ -42,7 +45,9 @@
         s.api = addresses_[i];
         s.mesh = mesh_[i];
         for (std::size_t k = 0; k < labels_.size(); ++k) {
-            if (k != i) s.peers.push_back({labels_[k], "a", i == relayed_ || k == relayed_ ? relays_[k]->address : mesh_[k]});
+            if (k != i)
+                s.peers.push_back(
+                    {labels_[k], "a", i == relayed_ || k == relayed_ ? relays_[k]->address : mesh_[k]});
         }
         s.cloud = cloud.address;
         s.state = i == relayed_ ? state_relay_->address : state.address;
@@ -78,8 +83,9 @@
     io::Address mesh_address(std::size_t i) const { return mesh_[i]; }
 
     Task<std::pair<int, Json>> call(std::size_t node, std::string method, std::string target, Json body) {
-        auto task = client.send(addresses_[node], std::move(method), std::move(target), body.is_null() ? "" : wire::encode(body),
-                                io::steady_now() + Micros{5'000'000});
+        auto task =
+            client.send(addresses_[node], std::move(method), std::move(target),
+                        body.is_null() ? "" : wire::encode(body), io::steady_now() + Micros{5'000'000});
         const auto r = co_await std::move(task);
         co_return std::pair{r.status, wire::decode(r.body).value_or(Json::object())};
     }
@@ -96,9 +102,11 @@
         }
     }
     Task<void> submit(std::string id, std::string team, std::string form, int tasks) {
-        Json j{{"id", id}, {"flock", "c"}, {"crew", team}, {"form", form}, {"rank", "normal"}, {"legs", tasks}, {"cores", 1.0},
-               {"accelerators", 0.0}, {"memGb", 1.0}, {"plate", "img"}, {"sizeGb", 0.1}, {"oneZone", false}, {"spread", false},
-               {"borrowed", false}, {"expectS", 1.0}, {"markS", 0.0}, {"stashS", 0.0}};
+        Json j{{"id", id},         {"flock", "c"},      {"crew", team},   {"form", form},
+               {"rank", "normal"}, {"legs", tasks},     {"cores", 1.0},   {"accelerators", 0.0},
+               {"memGb", 1.0},     {"plate", "img"},    {"sizeGb", 0.1},  {"oneZone", false},
+               {"spread", false},  {"borrowed", false}, {"expectS", 1.0}, {"markS", 0.0},
+               {"stashS", 0.0}};
         auto task = insist("POST", "/api/jobs", j, {200, 201});
         co_await std::move(task);
     }
@@ -120,7 +128,11 @@
     std::size_t index(const std::string& label) const {
         return static_cast<std::size_t>(std::find(labels_.begin(), labels_.end(), label) - labels_.begin());
     }
-    std::uint64_t epoch() const { return state.items.contains("h/epoch") ? state.items.at("h/epoch").value["number"].get<std::uint64_t>() : 0; }
+    std::uint64_t epoch() const {
+        return state.items.contains("h/epoch")
+                   ? state.items.at("h/epoch").value["number"].get<std::uint64_t>()
+                   : 0;
+    }
 
     // The story, or a failure if it does not end in time. The bound is a backstop, not a measurement.
     void play(std::function<Task<void>(Site&)> story) {
@@ -209,7 +221,8 @@
         {
             const std::function<bool()> reached = [&] {
                 return std::none_of(s.state.items.begin(), s.state.items.end(), [](const auto& i) {
-                    return i.first.starts_with("h/run/") && i.second.value.dump().find("req-1/") != std::string::npos;
+                    return i.first.starts_with("h/run/") &&
+                           i.second.value.dump().find("req-1/") != std::string::npos;
                 });
             };
             auto waiting = s.until(reached);
@@ -239,21 +252,29 @@
             co_await std::move(step);
         }
         const std::vector<std::tuple<std::string, std::string, Json, int>> cases = {
-            {"POST", "/api/jobs", Json("text"), 400},       {"POST", "/api/jobs", Json::object(), 400},
-            {"PUT", "/api/jobs", nullptr, 405},             {"POST", "/healthz", nullptr, 405},
-            {"GET", "/hello", nullptr, 405},                {"POST", "/hello", Json::object(), 400},
-            {"GET", "/nothing", nullptr, 404},              {"GET", "/api/jobs/other", nullptr, 404},
-            {"GET", "/api/jobs/req-1/cancel", nullptr, 405}, {"POST", "/api/jobs/req-77/cancel", nullptr, 404},
+            {"POST", "/api/jobs", Json("text"), 400},
+            {"POST", "/api/jobs", Json::object(), 400},
+            {"PUT", "/api/jobs", nullptr, 405},
+            {"POST", "/healthz", nullptr, 405},
+            {"GET", "/hello", nullptr, 405},
+            {"POST", "/hello", Json::object(), 400},
+            {"GET", "/nothing", nullptr, 404},
+            {"GET", "/api/jobs/other", nullptr, 404},
+            {"GET", "/api/jobs/req-1/cancel", nullptr, 405},
+            {"POST", "/api/jobs/req-77/cancel", nullptr, 404},
         };
         for (const auto& [method, target, body, status] : cases) {
             auto task = s.call(0, method, target, body);
             const auto r = co_await std::move(task);
             EXPECT_EQ(r.first, status) << method << " " << target;
         }
-        Json j{{"id", "req-5"}, {"flock", "c"}, {"crew", "x"}, {"form", "service"}, {"rank", "normal"}, {"legs", 17}, {"cores", 1.0},
-               {"accelerators", 0.0}, {"memGb", 1.0}, {"plate", "img"}, {"sizeGb", 0.1}, {"oneZone", false}, {"spread", false},
-               {"borrowed", false}, {"expectS", 1.0}, {"markS", 0.0}, {"stashS", 0.0}};
-        for (const auto& [key, value] : std::vector<std::pair<std::string, Json>>{{"legs", 17}, {"crew", "nobody"}, {"cores", 5.0}}) {
+        Json j{{"id", "req-5"},    {"flock", "c"},      {"crew", "x"},    {"form", "service"},
+               {"rank", "normal"}, {"legs", 17},        {"cores", 1.0},   {"accelerators", 0.0},
+               {"memGb", 1.0},     {"plate", "img"},    {"sizeGb", 0.1},  {"oneZone", false},
+               {"spread", false},  {"borrowed", false}, {"expectS", 1.0}, {"markS", 0.0},
+               {"stashS", 0.0}};
+        for (const auto& [key, value] :
+             std::vector<std::pair<std::string, Json>>{{"legs", 17}, {"crew", "nobody"}, {"cores", 5.0}}) {
             Json bad = j;
             bad["legs"] = 1;
             bad[key] = value;
@@ -268,7 +289,8 @@
     Site site{3};
     site.world.run_time = Micros{1'500'000};
     site.play([](Site& s) -> Task<void> {
-        for (const auto& [id, team] : std::vector<std::pair<std::string, std::string>>{{"req-1", "x"}, {"req-2", "y"}, {"req-3", "z"}}) {
+        for (const auto& [id, team] : std::vector<std::pair<std::string, std::string>>{
+                 {"req-1", "x"}, {"req-2", "y"}, {"req-3", "z"}}) {
             {
                 auto step = s.submit(id, team, "sweep", 6);
                 co_await std::move(step);
@@ -319,7 +341,9 @@
             co_await std::move(step);
         }
         {
-            const std::function<bool()> reached = [&] { return s.world.running.contains("req-2/0") && s.world.running.contains("req-2/1"); };
+            const std::function<bool()> reached = [&] {
+                return s.world.running.contains("req-2/0") && s.world.running.contains("req-2/1");
+            };
             auto waiting = s.until(reached);
             co_await std::move(waiting);
         }
@@ -337,7 +361,8 @@
             auto step = s.until_status("req-2", "running");
             co_await std::move(step);
         }
-        EXPECT_EQ(s.world.running["req-2/0"], homes.at("req-2/0")) << "a replica whose lease lasted stays where it is";
+        EXPECT_EQ(s.world.running["req-2/0"], homes.at("req-2/0"))
+            << "a replica whose lease lasted stays where it is";
     });
 }
 
@@ -362,15 +387,17 @@
         co_await s.loop.sleep(Micros{1'700'000});
         s.cloud.workers.at(machine)->hung = false;
         {
-            const std::function<bool()> reached = [&] { return s.world.running.contains("req-1/0") && s.world.running.contains("req-1/1"); };
+            const std::function<bool()> reached = [&] {
+                return s.world.running.contains("req-1/0") && s.world.running.contains("req-1/1");
+            };
             auto waiting = s.until(reached);
             co_await std::move(waiting);
         }
     });
 }
 
-// A machine that never comes back, and that nobody releases since too many are silent: its last report says that
-// the task runs, and its lease alone shows that it does not.
+// A machine that never comes back, and that nobody releases since too many are silent: its last report says
+// that the task runs, and its lease alone shows that it does not.
 TEST(Service, TasksOfAMachineThatStaysSilentRunElsewhereAfterItsLease) {
     Site site{2};
     site.world.endless = {"req-1"};
@@ -544,13 +571,16 @@
         dead["address"] = "127.0.0.1:1";
         Json claims = early;
         claims["tick"] = 0;
-        claims["legs"] = Json::array({Json{{"leg", "req-1/0"}, {"try", 1}, {"status", "exited"}, {"cause", "done"}}});
+        claims["legs"] =
+            Json::array({Json{{"leg", "req-1/0"}, {"try", 1}, {"status", "exited"}, {"cause", "done"}}});
         s.kill(0);
         s.kill(1);
         s.start(0);
         s.start(1);
         bool used = false;
-        s.state.on_commit = [&used](const Json& t) { used = used || t.dump().find("n-000000") != std::string::npos; };
+        s.state.on_commit = [&used](const Json& t) {
+            used = used || t.dump().find("n-000000") != std::string::npos;
+        };
         for (int round = 0; round < 20; ++round) {
             for (const std::size_t node : {0U, 1U}) {
                 dead["tick"] = 1000 + round;
@@ -622,8 +652,8 @@
     });
 }
 
-// The node hears workers only. It falls silent when its mandate ends, its teams get another owner, its workers
-// move on within their leases, and it comes back without help.
+// The node hears workers only. It falls silent when its mandate ends, its teams get another owner, its
+// workers move on within their leases, and it comes back without help.
 TEST(Service, ANodeWithNothingButItsWorkersFallsSilentAndComesBack) {
     Site site{3, 0};
     site.world.lease_s = 6;
@@ -638,7 +668,8 @@
         }
         s.start(1);
         s.start(2);
-        for (const auto& [id, team] : std::vector<std::pair<std::string, std::string>>{{"req-1", "x"}, {"req-2", "y"}, {"req-3", "z"}}) {
+        for (const auto& [id, team] : std::vector<std::pair<std::string, std::string>>{
+                 {"req-1", "x"}, {"req-2", "y"}, {"req-3", "z"}}) {
             auto step = s.submit(id, team, "service", 2);
             co_await std::move(step);
         }
@@ -698,7 +729,8 @@
         std::minstd_rand random{7};
         for (int round = 0; round < 12; ++round) {
             {
-                auto step = s.submit("req-" + std::to_string(10 + round), round % 2 == 0 ? "y" : "z", "sweep", 4);
+                auto step =
+                    s.submit("req-" + std::to_string(10 + round), round % 2 == 0 ? "y" : "z", "sweep", 4);
                 co_await std::move(step);
             }
             const auto leader = s.index(s.leader());
@@ -784,9 +816,14 @@
         s.start(0);
         s.start(1);
         for (const int round : {0, 1}) {
-            if (round == 1) s.state.too_old = true;
+            if (round == 1) {
+                // One more was accepted, and the change that says so is not kept any more.
+                s.state.items["h/job/req-" + std::to_string(1000 + jobs)] = {
+                    s.state.items.at("h/job/req-1000").value, ++s.state.revision, 0};
+                s.state.oldest = s.state.revision;
+            }
             for (const std::size_t node : {0U, 1U}) {
-                for (const int i : {0, jobs / 2, jobs - 1}) {
+                for (const int i : {0, jobs / 2, jobs - 1 + round}) {
                     int status = 0;
                     const Micros give_up = io::steady_now() + Micros{20'000'000};
                     Json answer;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -3,7 +3,6 @@
 #include <nlohmann/json.hpp>
 
 #include "service/budget.hpp"
-
 #include "support.hpp"
 
 namespace hatchwind {
@@ -25,7 +24,12 @@
               {"zones", {"a", "b"}},
               {"teams", {{{"name", "t"}, {"cpus", 4.0}, {"cpus_max", 8.0}, {"gpus", 0}, {"gpus_max", 0}}}},
               {"objectives", {{{"kind", "wait"}, {"class", "c"}, {"within_s", 2.0}, {"share", 0.9}}}},
-              {"workers", {{"report_s", 1.0}, {"lease_s", 10.0}, {"gang_wait_s", 10.0}, {"gang_peer_s", 2.0}, {"cancel_s", 20.0}}},
+              {"workers",
+               {{"report_s", 1.0},
+                {"lease_s", 10.0},
+                {"gang_wait_s", 10.0},
+                {"gang_peer_s", 2.0},
+                {"cancel_s", 20.0}}},
               {"state", {{"rps", 100.0}, {"write_rps", 50.0}, {"value_kb", 16.0}, {"txn_ops", 12}}},
               {"cloud", {{"rps", 5.0}, {"list_lag_s", 2.0}}},
               {"machine_limits", {{"cpu_share", 0.5}, {"memory_mb", 64.0}, {"max_connections", 500}}},
@@ -81,7 +85,8 @@
 
 TEST(Properties, FollowTheJavaRules) {
     const auto p = service::parse_properties(
-        "# comment\n! comment too\n\nplain=1\nspaced = two words \ncolon: 3\nblank 4\nlong = a\\\n   b\nesc\\=aped = x\\ty\nempty=\n");
+        "# comment\n! comment too\n\nplain=1\nspaced = two words \ncolon: 3\nblank 4\nlong = a\\\n   "
+        "b\nesc\\=aped = x\\ty\nempty=\n");
     EXPECT_EQ(p.at("plain"), "1");
     EXPECT_EQ(p.at("spaced"), "two words");
     EXPECT_EQ(p.at("colon"), "3");
@@ -97,7 +102,8 @@
         const auto word = rc::gen::nonEmpty(rc::gen::container<std::string>(rc::gen::inRange('a', 'z')));
         const auto pairs = *rc::gen::container<std::map<std::string, std::string>>(word, word);
         std::string text;
-        for (const auto& [k, v] : pairs) text += k + *rc::gen::element<std::string>("=", " = ", ": ", " ") + v + "\n";
+        for (const auto& [k, v] : pairs)
+            text += k + *rc::gen::element<std::string>("=", " = ", ": ", " ") + v + "\n";
         RC_ASSERT(service::parse_properties(text) == pairs);
     });
     test::holds("any text ends in values or in one error", [](const std::string& text) {
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -48,7 +48,8 @@
 // Passes connections on to somebody else until it is cut: then nothing more arrives on either side.
 class Relay {
   public:
-    Relay(io::Loop& loop, io::Address to) : address(local(free_port())), loop_(loop), to_(to), listener_(loop, address) {
+    Relay(io::Loop& loop, io::Address to)
+        : address(local(free_port())), loop_(loop), to_(to), listener_(loop, address) {
         scope_.spawn(serve());
     }
     const io::Address address;
@@ -93,7 +94,10 @@
 class StateStandIn {
   public:
     explicit StateStandIn(io::Loop& loop)
-        : address(local(free_port())), loop_(loop), changed_(loop), server_(loop, address, {}, [this](io::HttpRequest r) { return handle(std::move(r)); }) {
+        : address(local(free_port())),
+          loop_(loop),
+          changed_(loop),
+          server_(loop, address, {}, [this](io::HttpRequest r) { return handle(std::move(r)); }) {
         scope_.spawn(server_.serve());
         scope_.spawn(expire());
     }
@@ -108,7 +112,7 @@
     std::map<std::string, Item> items;
     std::uint64_t revision = 0;
     std::size_t most_writes = 0;
-    bool too_old = false;  // the next watch gets 410
+    std::uint64_t oldest = 0;  // changes up to it are not kept: whoever watches from before gets 410
     std::size_t page = 1000;
     std::function<void(const Json&)> on_commit;  // sees every transaction before it is carried out
 
@@ -150,17 +154,18 @@
     }
     io::Task<io::HttpResponse> handle(io::HttpRequest q) {
         if (q.target.starts_with("/watch")) {
-            if (std::exchange(too_old, false)) co_return reply(410);
             const auto after = std::stoull(query(q.target, "after"));
             const auto prefix = query(q.target, "starts");
             const auto end = io::steady_now() + io::Micros{std::stoll(query(q.target, "blockMs")) * 1000};
             while (true) {
+                if (after < oldest) co_return reply(410);
                 Json log = Json::array();
                 for (const auto& e : log_) {
                     const std::string key = e.contains("write") ? e["write"] : e["delete"];
                     if (e["stamp"].get<std::uint64_t>() > after && key.starts_with(prefix)) log.push_back(e);
                 }
-                if (!down && (!log.empty() || io::steady_now() >= end)) co_return reply(200, {{"ledger", revision}, {"log", log}});
+                if (!down && (!log.empty() || io::steady_now() >= end))
+                    co_return reply(200, {{"ledger", revision}, {"log", log}});
                 co_await changed_.wait(down ? io::steady_now() + io::Micros{50'000} : end);
             }
         }
@@ -170,7 +175,8 @@
             Json pairs = Json::array();
             for (const auto& [k, i] : items) {
                 if (!k.starts_with(query(q.target, "starts")) || k <= query(q.target, "after")) continue;
-                if (pairs.size() == page) co_return reply(200, {{"pairs", pairs}, {"hasNext", true}, {"ledger", revision}});
+                if (pairs.size() == page)
+                    co_return reply(200, {{"pairs", pairs}, {"hasNext", true}, {"ledger", revision}});
                 pairs.push_back({{"path", k}, {"v", i.value}, {"stamp", i.stamp}});
             }
             co_return reply(200, {{"pairs", pairs}, {"hasNext", false}, {"ledger", revision}});
@@ -199,11 +205,13 @@
         Json failed = Json::array();
         for (const auto& c : t["when"]) {
             const auto it = items.find(c["path"]);
-            if ((it == items.end() ? 0 : it->second.stamp) != c["stamp"].get<std::uint64_t>()) failed.push_back(c["path"]);
+            if ((it == items.end() ? 0 : it->second.stamp) != c["stamp"].get<std::uint64_t>())
+                failed.push_back(c["path"]);
         }
         most_writes = std::max(most_writes, t["writes"].size());
         for (const auto& w : t["writes"]) {
-            if (w.contains("tenure") && !grants_.contains(w["tenure"].get<std::uint64_t>())) return reply(400, {{"error", "no such lease"}});
+            if (w.contains("tenure") && !grants_.contains(w["tenure"].get<std::uint64_t>()))
+                return reply(400, {{"error", "no such lease"}});
         }
         if (!failed.empty()) return reply(409, {{"failed", failed}, {"ledger", revision}});
         ++revision;
@@ -240,9 +248,17 @@
         std::set<std::string> endless;  // jobs whose tasks never end
         double lease_s = 3;
     };
-    WorkerStandIn(io::Loop& loop, World& w, std::string id, std::string zone, std::vector<io::Address> nodes, std::vector<std::string> labels)
-        : loop_(loop), world_(w), id_(std::move(id)), zone_(std::move(zone)), nodes_(std::move(nodes)), labels_(std::move(labels)),
-          address_(local(free_port())), client_(loop), began_(io::steady_now()),
+    WorkerStandIn(io::Loop& loop, World& w, std::string id, std::string zone, std::vector<io::Address> nodes,
+                  std::vector<std::string> labels)
+        : loop_(loop),
+          world_(w),
+          id_(std::move(id)),
+          zone_(std::move(zone)),
+          nodes_(std::move(nodes)),
+          labels_(std::move(labels)),
+          address_(local(free_port())),
+          client_(loop),
+          began_(io::steady_now()),
           server_(loop, address_, {}, [this](io::HttpRequest r) { return handle(std::move(r)); }) {
         scope_.spawn(server_.serve());
         scope_.spawn(report());
@@ -284,8 +300,11 @@
             if (!t.cause.empty()) l["cause"] = t.cause;
             legs.push_back(l);
         }
-        return {{"perch", id_}, {"address", text_of(address_)}, {"build", "c4"}, {"roost", zone_}, {"borrowed", false}, {"stint", session_},
-                {"tick", ++tick_}, {"baton", token_}, {"warningS", nullptr}, {"legs", legs}};
+        return {{"perch", id_},        {"address", text_of(address_)},
+                {"build", "c4"},       {"roost", zone_},
+                {"borrowed", false},   {"stint", session_},
+                {"tick", ++tick_},     {"baton", token_},
+                {"warningS", nullptr}, {"legs", legs}};
     }
     void execute(const Json& calls) {
         for (const auto& c : calls) {
@@ -338,7 +357,8 @@
                 began_ = sent;
             }
             last_report = describe();
-            auto task = client_.send(nodes_[at % nodes_.size()], "POST", "/hello", wire::encode(last_report), sent + io::Micros{700'000});
+            auto task = client_.send(nodes_[at % nodes_.size()], "POST", "/hello", wire::encode(last_report),
+                                     sent + io::Micros{700'000});
             auto r = co_await std::move(task);
             if (deaf) r.status = 0;
             const auto v = r.status == 200 || r.status == 421 ? wire::decode(r.body) : std::nullopt;
@@ -361,7 +381,9 @@
             co_await loop_.sleep(io::Micros{20'000});
             if (hung) continue;
             for (auto& [name, t] : tasks_) {
-                if (t.state != "running" || t.until > io::steady_now() || world_.endless.contains(name.substr(0, name.find('/')))) continue;
+                if (t.state != "running" || t.until > io::steady_now() ||
+                    world_.endless.contains(name.substr(0, name.find('/'))))
+                    continue;
                 leave(name, t);
                 t.state = "exited";
                 t.cause = "done";
@@ -388,7 +410,9 @@
   public:
     using MakeWorker = std::function<std::unique_ptr<WorkerStandIn>(std::string id, std::string zone)>;
     CloudStandIn(io::Loop& loop, MakeWorker make)
-        : address(local(free_port())), make_(std::move(make)), server_(loop, address, {}, [this](io::HttpRequest r) { return handle(std::move(r)); }) {
+        : address(local(free_port())),
+          make_(std::move(make)),
+          server_(loop, address, {}, [this](io::HttpRequest r) { return handle(std::move(r)); }) {
         scope_.spawn(server_.serve());
     }
     const io::Address address;
@@ -399,12 +423,22 @@
     io::Task<io::HttpResponse> handle(io::HttpRequest q) {
         const auto b = wire::decode(q.body);
         if (q.target == "/catalog") {
-            co_return reply(200, {{"builds", {{{"name", "c4"}, {"cores", 4.0}, {"accelerators", 0.0}, {"memGb", 16.0}, {"localGb", 20.0},
-                {"fetchGbPerS", 1.0}, {"price", 0.2}, {"marketPrice", 0.1}, {"startupS", 1.0}, {"roosts", {"a", "b"}}}}}});
+            co_return reply(200, {{"builds",
+                                   {{{"name", "c4"},
+                                     {"cores", 4.0},
+                                     {"accelerators", 0.0},
+                                     {"memGb", 16.0},
+                                     {"localGb", 20.0},
+                                     {"fetchGbPerS", 1.0},
+                                     {"price", 0.2},
+                                     {"marketPrice", 0.1},
+                                     {"startupS", 1.0},
+                                     {"roosts", {"a", "b"}}}}}});
         }
         if (q.target == "/rentals" && q.method == "POST") {
             if (!asks.insert((*b)["ask"]).second) co_return reply(503, {{"error", "no capacity"}});
-            if (workers.size() >= 8 || (*b)["borrowed"].get<bool>()) co_return reply(503, {{"error", "no capacity"}});
+            if (workers.size() >= 8 || (*b)["borrowed"].get<bool>())
+                co_return reply(503, {{"error", "no capacity"}});
             char id[16];
             std::snprintf(id, sizeof id, "n-%06d", ++last_);
             workers[id] = make_(id, (*b)["roost"]);
@@ -416,8 +450,13 @@
         }
         Json list = Json::array();
         for (const auto& [id, w] : workers) {
-            list.push_back({{"id", id}, {"address", text_of(w->address())}, {"build", "c4"}, {"roost", w->zone()}, {"borrowed", false},
-                            {"status", "running"}, {"heldS", 5.0}});
+            list.push_back({{"id", id},
+                            {"address", text_of(w->address())},
+                            {"build", "c4"},
+                            {"roost", w->zone()},
+                            {"borrowed", false},
+                            {"status", "running"},
+                            {"heldS", 5.0}});
         }
         co_return reply(200, {{"perches", list}, {"hasNext", false}});
     }
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -92,7 +92,8 @@
     for (int i = 0; i < machines; ++i) {
         const std::string id = "n-" + std::to_string(100 + i);
         const bool big = *rc::gen::inRange(0, 3) == 0;
-        reports[id] = report(id, big ? "big" : "small", *rc::gen::inRange(0, 2) == 0 ? "a" : "b", *rc::gen::inRange(0, 2) == 0);
+        reports[id] = report(id, big ? "big" : "small", *rc::gen::inRange(0, 2) == 0 ? "a" : "b",
+                             *rc::gen::inRange(0, 2) == 0);
         free[id] = c.types.at(reports[id].type).size;
     }
     const int jobs = *rc::gen::inRange(0, 8);
@@ -111,7 +112,8 @@
         for (std::uint32_t t = 0; t < j.tasks; ++t) {
             if (*rc::gen::inRange(0, 2) == 0) continue;
             for (auto& [id, r] : reports) {
-                const bool allowed = (j.spot || !r.spot) && zones.allows(j, r.zone) && j.need.fits_in(free[id]);
+                const bool allowed =
+                    (j.spot || !r.spot) && zones.allows(j, r.zone) && j.need.fits_in(free[id]);
                 core::Amount use = c.ledger.team_use(j.team);
                 use += j.need * static_cast<double>(chunk.open.size() + 1);
                 if (!allowed || use.cpus > c.teams[j.team].cpus_max) continue;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -1,6 +1,5 @@
-#include "wire/messages.hpp"
-
 #include "support.hpp"
+#include "wire/messages.hpp"
 
 namespace hatchwind {
 namespace {
@@ -9,10 +8,11 @@
 using wire::Json;
 
 Json submission() {
-    return {{"id", "req-000412"}, {"flock", "train"}, {"crew", "vision"},    {"form", "sweep"},   {"rank", "high"},
-            {"legs", 16},         {"cores", 8.0},     {"accelerators", 1.0}, {"memGb", 64.0},     {"plate", "img-07"},
-            {"sizeGb", 6.2},      {"builds", {"g8"}}, {"roost", nullptr},    {"oneZone", true},   {"spread", false},
-            {"borrowed", true},   {"expectS", 240.0}, {"markS", 30.0},       {"stashS", 4.0},     {"dueS", 900.0}};
+    return {{"id", "req-000412"}, {"flock", "train"},  {"crew", "vision"}, {"form", "sweep"},
+            {"rank", "high"},     {"legs", 16},        {"cores", 8.0},     {"accelerators", 1.0},
+            {"memGb", 64.0},      {"plate", "img-07"}, {"sizeGb", 6.2},    {"builds", {"g8"}},
+            {"roost", nullptr},   {"oneZone", true},   {"spread", false},  {"borrowed", true},
+            {"expectS", 240.0},   {"markS", 30.0},     {"stashS", 4.0},    {"dueS", 900.0}};
 }
 
 TEST(Submission, ReadsEveryField) {
@@ -42,8 +42,10 @@
 }
 
 TEST(Submission, RefusesBadNumbers) {
-    for (const char* key : {"cores", "accelerators", "memGb", "sizeGb", "expectS", "markS", "stashS", "dueS"}) {
-        for (const double bad : {-1.0, 1e300, std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::infinity()}) {
+    for (const char* key :
+         {"cores", "accelerators", "memGb", "sizeGb", "expectS", "markS", "stashS", "dueS"}) {
+        for (const double bad : {-1.0, 1e300, std::numeric_limits<double>::quiet_NaN(),
+                                 std::numeric_limits<double>::infinity()}) {
             Json v = submission();
             v[key] = bad;
             EXPECT_TRUE(std::holds_alternative<std::string>(wire::parse_submission(v))) << key << bad;
@@ -79,8 +81,10 @@
 
 TEST(Cbor, DamagedReportsAreRefusedOrRead) {
     Json task{{"leg", "req-000412/3"}, {"try", 2}, {"status", "running"}};
-    const Json good{{"perch", "n-000231"}, {"address", "10.1.0.232:9000"}, {"build", "g8"}, {"roost", "a"},
-                    {"borrowed", true},    {"stint", 1},                   {"tick", 88},    {"baton", 41},
+    const Json good{{"perch", "n-000231"}, {"address", "10.1.0.232:9000"},
+                    {"build", "g8"},       {"roost", "a"},
+                    {"borrowed", true},    {"stint", 1},
+                    {"tick", 88},          {"baton", 41},
                     {"warningS", nullptr}, {"legs", {task}}};
     const std::string bytes = wire::encode(good);
     ASSERT_TRUE(wire::parse_report(*wire::decode(bytes)).has_value());
@@ -94,7 +98,8 @@
 
 TEST(Records, JobsAndChunksComeBackAsTheyWere) {
     holds("round trip", [] {
-        core::Job j = test::job("req-1", "x", static_cast<std::uint32_t>(*rc::gen::inRange(1, 100'001)), *rc::gen::element(0.5, 2.0, 64.0));
+        core::Job j = test::job("req-1", "x", static_cast<std::uint32_t>(*rc::gen::inRange(1, 100'001)),
+                                *rc::gen::element(0.5, 2.0, 64.0));
         j.kind = static_cast<core::JobKind>(*rc::gen::inRange(0, 3));
         j.spread = *rc::gen::arbitrary<bool>();
         j.one_zone = *rc::gen::arbitrary<bool>();
@@ -109,7 +114,8 @@
         for (std::uint32_t t = 0; t < core::kChunkTasks; ++t) {
             const int what = *rc::gen::inRange(0, 3);
             if (what == 1) c.done.insert(t);
-            if (what == 2) c.open[t] = {static_cast<std::uint64_t>(*rc::gen::inRange(1, 1000)), "n-000001", 2};
+            if (what == 2)
+                c.open[t] = {static_cast<std::uint64_t>(*rc::gen::inRange(1, 1000)), "n-000001", 2};
         }
         c.last_attempt = 1000;
         const auto bytes = wire::encode(wire::chunk_record(c));
@@ -125,7 +131,8 @@
 
 TEST(Names, JobIdsAndTaskNames) {
     EXPECT_TRUE(wire::is_job_id("req-000412"));
-    for (const char* bad : {"", "req-", "req-12a", "job-1", "req-1/2", "req-00000000000000000000000000000000000001"}) {
+    for (const char* bad :
+         {"", "req-", "req-12a", "job-1", "req-1/2", "req-00000000000000000000000000000000000001"}) {
         EXPECT_FALSE(wire::is_job_id(bad)) << bad;
     }
     EXPECT_EQ(wire::parse_task_name("req-7/12"), (std::pair<std::string, std::uint32_t>{"req-7", 12}));
