--- a/src/core/fleet_planner.cpp
+++ b/src/core/fleet_planner.cpp
@@ -160,8 +160,8 @@
         std::unordered_map<const JobEntry*, double> shares;
         for (std::size_t i = 0; i < room_.machines().size(); ++i) {
             const RoomMachine& m = room_.machines()[i];
-            if (m.view == nullptr || !m.usable || m.draining) continue;
-            for (const auto& [ref, held] : in_.ledger->on_machine(m.id)) {
+            if (m.held == nullptr || !m.usable || m.draining) continue;
+            for (const auto& [ref, held] : *m.held) {
                 const JobEntry* e = held.entry;
                 if (e->job.kind != JobKind::array) continue;
                 const auto [share, fresh] = shares.try_emplace(e, 0);
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -13,8 +13,9 @@
 void Ledger::drop(const TaskRef& ref, const std::string& machine) {
     const auto it = by_machine_.find(machine);
     if (it == by_machine_.end()) return;
-    it->second.erase(ref);
-    if (it->second.empty()) by_machine_.erase(it);
+    it->second.tasks.erase(ref);
+    it->second.version = ++changes_;
+    if (it->second.tasks.empty()) by_machine_.erase(it);
 }
 
 void Ledger::account(const JobEntry& e, const Chunk& before, const Chunk& after) {
@@ -31,7 +32,9 @@
             drop({e.job.id, b->first}, b->second.machine);
             ++b;
         } else {
-            by_machine_[a->second.machine][{e.job.id, a->first}] = {&e, a->second.number, a->second.session};
+            MachineTasks& m = by_machine_[a->second.machine];
+            m.tasks[{e.job.id, a->first}] = {&e, a->second.number, a->second.session};
+            m.version = ++changes_;
             ++a;
         }
     }
@@ -149,7 +152,7 @@
 const HeldTasks& Ledger::on_machine(const std::string& machine) const {
     static const HeldTasks none;
     const auto it = by_machine_.find(machine);
-    return it == by_machine_.end() ? none : it->second;
+    return it == by_machine_.end() ? none : it->second.tasks;
 }
 
 std::vector<std::uint32_t> unstarted_tasks(const JobEntry& e, std::size_t most) {
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -67,6 +67,11 @@
     std::uint64_t session = 0;
 };
 using HeldTasks = std::map<TaskRef, Held>;
+// Never empty. The version is another one after every change, also when the machine was empty in between.
+struct MachineTasks {
+    HeldTasks tasks;
+    std::uint64_t version = 0;
+};
 
 class Ledger {
   public:
@@ -89,7 +94,7 @@
     // What the team's recorded attempts use that are not known to be gone.
     Amount team_use(const std::string& team) const;
     const HeldTasks& on_machine(const std::string& machine) const;
-    const std::unordered_map<std::string, HeldTasks>& by_machine() const { return by_machine_; }
+    const std::map<std::string, MachineTasks>& by_machine() const { return by_machine_; }
     // Chunks whose job is over: they leave the store with the next write of their page.
     const std::map<ChunkKey, Chunk>& orphans() const { return orphans_; }
 
@@ -100,7 +105,8 @@
     void drop(const TaskRef& ref, const std::string& machine);
     Jobs jobs_;
     std::unordered_map<std::string, Amount> use_;
-    std::unordered_map<std::string, HeldTasks> by_machine_;
+    std::map<std::string, MachineTasks> by_machine_;  // in the picture's order: passes walk both in step
+    std::uint64_t changes_ = 0;
     std::map<ChunkKey, Chunk> orphans_;
     std::map<PageKey, Page> pages_;
 };
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -427,8 +427,12 @@
     struct Victim {
         const JobEntry* entry;
         std::uint32_t task;
-        Attempt attempt;
+        std::uint64_t number;
         std::tuple<int, int, double> cost;
+        std::pair<int, Priority> claim;
+        const Amount* team_use;  // what its team uses in this pass, and what it is guaranteed
+        const Team* team;
+        bool stopping = false;
     };
 
     // Claims in order: production, then what a guarantee covers, then the rest; by priority among equals.
@@ -438,40 +442,51 @@
         if (j.priority == Priority::production) return {2, j.priority};
         return {within_guarantee(j) ? 1 : 0, j.priority};
     }
-    bool may_stop(const Job& j, const Job& victim) {
-        if (victim.kind == JobKind::gang) return false;  // a gang loses far more than one task's room
-        if (claim(j) <= claim(victim)) return false;
-        if (j.priority > victim.priority) return true;
-        if (j.team == victim.team || !within_guarantee(j)) return false;
-        const auto& t = in_.teams->at(victim.team);
-        return used_.at(victim.team).cpus > t.cpus + kSlack || used_.at(victim.team).gpus > t.gpus + kSlack;
+    // `own` is the claim of the job that wants the room.
+    static bool may_stop(const Job& j, const std::pair<int, Priority>& own, const Victim& v) {
+        if (own <= v.claim) return false;
+        if (j.priority > v.entry->job.priority) return true;
+        if (j.team == v.entry->job.team || own.first == 0) return false;
+        return v.team_use->cpus > v.team->cpus + kSlack || v.team_use->gpus > v.team->gpus + kSlack;
     }
 
-    // What runs on each machine and might be stopped for somebody: the same for every job of a pass.
-    const std::vector<std::vector<Victim>>& stoppable() {
-        if (!victims_.empty()) return victims_;
-        victims_.resize(room_.machines().size());
-        for (std::size_t i = 0; i < victims_.size(); ++i) {
-            const RoomMachine& m = room_.machines()[i];
-            if (!m.usable || m.draining || m.view == nullptr) continue;
-            for (const auto& [ref, h] : in_.ledger->on_machine(m.id)) {
-                const Job& j = h.entry->job;
-                if (j.priority == Priority::production || j.kind == JobKind::gang ||
-                    in_.stopping.contains(ref))
-                    continue;
-                const auto v = view_attempt(*m.view, ref.job, ref.task, h.number, h.session);
-                if (v.fate != Fate::live || v.state == TaskState::saving) continue;
-                // Least lost first: tasks without their image, then those that save as they go.
-                const int state = v.state == TaskState::fetching ? 0 : j.checkpoint_s > 0 ? 1 : 2;
-                victims_[i].push_back({h.entry,
-                                       ref.task,
-                                       {h.number, m.id, h.session},
-                                       {static_cast<int>(j.priority), state, j.need.cpus}});
+    // What runs on the machine and might be stopped for somebody: the same for every job of a pass.
+    std::vector<Victim>& stoppable(std::size_t at) {
+        if (victims_.empty()) {
+            victims_.resize(room_.machines().size());
+            searched_.resize(victims_.size());
+        }
+        std::vector<Victim>& out = victims_[at];
+        if (searched_[at]) return out;
+        searched_[at] = true;
+        const RoomMachine& m = room_.machines()[at];
+        if (!m.usable || m.draining || m.view == nullptr || m.held == nullptr) return out;
+        const JobEntry* last = nullptr;
+        std::pair<int, Priority> own;
+        for (const auto& [ref, h] : *m.held) {
+            const Job& j = h.entry->job;
+            // A gang loses far more than one task's room.
+            if (j.priority == Priority::production || j.kind == JobKind::gang ||
+                !in_.teams->contains(j.team) || in_.stopping.contains(ref))
+                continue;
+            const auto v = view_attempt(*m.view, ref.job, ref.task, h.number, h.session);
+            if (v.fate != Fate::live || v.state == TaskState::saving) continue;
+            if (h.entry != last) {
+                last = h.entry;
+                own = claim(j);
             }
-            std::sort(victims_[i].begin(), victims_[i].end(),
-                      [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
+            // Least lost first: tasks without their image, then those that save as they go.
+            const int state = v.state == TaskState::fetching ? 0 : j.checkpoint_s > 0 ? 1 : 2;
+            out.push_back({h.entry,
+                           ref.task,
+                           h.number,
+                           {static_cast<int>(j.priority), state, j.need.cpus},
+                           own,
+                           &used_.at(j.team),
+                           &in_.teams->at(j.team)});
         }
-        return victims_;
+        std::sort(out.begin(), out.end(), [](const Victim& a, const Victim& b) { return a.cost < b.cost; });
+        return out;
     }
 
     bool preempt(const JobEntry& e, const ZoneUse& zones, std::uint32_t task, bool with_image = false) {
@@ -480,36 +495,34 @@
         // serve. Only who has waited for half the time that a guarantee allows stops others' work.
         if (e.job.kind == JobKind::array && in_.wall - e.job.accepted < patience_) return false;
         // A search that found nothing finds nothing for the next job of that shape and claim.
-        const std::tuple key{shape(e.job), claim(e.job), e.job.team,
-                             with_image ? e.job.image : std::string{}};
+        const auto own = claim(e.job);
+        const std::tuple key{shape(e.job), own, e.job.team, with_image ? e.job.image : std::string{}};
         if (no_victims_.contains(key)) return false;
-        std::vector<const Victim*> chosen;
+        std::vector<Victim*> chosen;
+        std::vector<Victim*> victims;
         std::size_t chosen_at = 0;
         std::tuple<bool, int, int, double> chosen_cost;
-        const auto& all = stoppable();
-        for (std::size_t i = 0; i < all.size(); ++i) {
-            if (all[i].empty()) continue;
+        for (std::size_t i = 0; i < room_.machines().size(); ++i) {
             const RoomMachine& m = room_.machines()[i];
-            if (!may_run_on(e.job, m) || !zones.allows(e.job, m.zone) ||
-                (with_image && !m.has_image(e.job.image)) || m.view->task(e.job.id, task) != nullptr) {
+            if (m.held == nullptr || (with_image && !m.has_image(e.job.image)) || !may_run_on(e.job, m) ||
+                !zones.allows(e.job, m.zone))
                 continue;
-            }
-            std::vector<const Victim*> victims;
+            victims.clear();
             Amount free = m.free;
-            for (const Victim& v : all[i]) {
+            for (Victim& v : stoppable(i)) {
                 if (e.job.need.fits_in(free)) break;
-                if (stopping_.contains({v.entry->job.id, v.task}) || !may_stop(e.job, v.entry->job)) continue;
+                if (v.stopping || !may_stop(e.job, own, v)) continue;
                 victims.push_back(&v);
                 free += v.entry->job.need;
             }
             const std::size_t n = victims.size();
-            if (n == 0 || !e.job.need.fits_in(free)) continue;
+            if (n == 0 || !e.job.need.fits_in(free) || listed_on(i, e, task)) continue;
             const auto& worst = victims.back()->cost;
             const std::tuple<bool, int, int, double> cost{!m.has_image(e.job.image), std::get<0>(worst),
                                                           static_cast<int>(n) + std::get<1>(worst),
                                                           free.cpus};
             if (chosen.empty() || cost < chosen_cost) {
-                chosen = std::move(victims);
+                std::swap(chosen, victims);
                 chosen_at = i;
                 chosen_cost = cost;
             }
@@ -518,13 +531,17 @@
         if (chosen.empty()) return false;
         // The victims' room is not free before they have gone: a start into it now would be refused.
         double slowest = 0;
-        for (const Victim* p : chosen) {
-            const Victim& v = *p;
+        for (Victim* p : chosen) {
+            Victim& v = *p;
             used_[v.entry->job.team] -= v.entry->job.need;
-            stopping_.insert({v.entry->job.id, v.task});
+            v.stopping = true;
             // A service's users wait now; anything else can wait until the victim has saved.
             const bool saves = e.job.kind != JobKind::service && v.entry->job.checkpoint_s > 0;
-            out_.stops.push_back({v.entry->job.id, v.task, v.attempt, saves ? v.entry->job.save_s + 0.5 : 0});
+            const RoomMachine& m = room_.machines()[chosen_at];
+            out_.stops.push_back({v.entry->job.id,
+                                  v.task,
+                                  {v.number, m.id, m.session},
+                                  saves ? v.entry->job.save_s + 0.5 : 0});
             slowest = std::max(slowest, out_.stops.back().grace_s);
         }
         room_.take(chosen_at, e.job.need);
@@ -542,7 +559,6 @@
     std::unordered_set<std::string> guaranteed_;
     bool guarantees_known_ = false;
     Micros patience_{};
-    std::set<TaskRef> stopping_;
     std::set<TaskRef> started_;
     std::set<std::pair<const JobEntry*, std::uint32_t>> records_;
     std::set<const JobEntry*> begun_;
@@ -550,6 +566,7 @@
     std::set<Shape> full_for_;
     std::set<std::tuple<Shape, std::pair<int, Priority>, std::string, std::string>> no_victims_;
     std::vector<std::vector<Victim>> victims_;
+    std::vector<bool> searched_;
     std::vector<std::pair<RoomMachine*, bool>> closed_;
 };
 
--- a/src/core/room.cpp
+++ b/src/core/room.cpp
@@ -4,9 +4,33 @@
 
 namespace hatchwind::core {
 
-Room Room::build(const Picture& p, const Ledger& l, const Catalog& c, const Availability& a) {
+namespace {
+// Recorded attempts use room unless the worker says that they have ended.
+Amount used_on(const MachineView& view, const HeldTasks& held) {
+    Amount sum;
+    for (const auto& [ref, h] : held) {
+        const auto v = view_attempt(view, ref.job, ref.task, h.number, h.session);
+        if (v.fate != Fate::exited && v.fate != Fate::gone) sum += h.entry->job.need;
+    }
+    return sum;
+}
+}  // namespace
+
+Room Room::build(const Picture& p, const Ledger& l, const Catalog& c, const Availability& a,
+                 RoomMemory* memory) {
     Room room;
+    if (memory != nullptr) room.machines_ = std::move(memory->spare_machines);
+    room.machines_.clear();
     room.machines_.reserve(p.machines().size());
+    auto recorded = l.by_machine().begin();
+    std::vector<RoomMemory::Use> uses;
+    std::vector<RoomMemory::Use>::const_iterator known;
+    if (memory != nullptr) {
+        uses = std::move(memory->spare_uses);
+        uses.clear();
+        uses.reserve(p.machines().size());
+        known = memory->uses.begin();
+    }
     for (const auto& [id, view] : p.machines()) {
         const auto type = c.find(view.last.type);
         if (type == c.end()) continue;
@@ -19,13 +43,29 @@
         m.session = view.last.session;
         m.free = type->second.size;
         m.usable = view.confirmed && !view.notice_until && a.now - view.changed < a.silent_after;
-        // Recorded attempts use room unless the worker says that they have ended.
-        for (const auto& [ref, held] : l.on_machine(id)) {
-            const auto v = view_attempt(view, ref.job, ref.task, held.number, held.session);
-            if (v.fate != Fate::exited && v.fate != Fate::gone) m.free -= held.entry->job.need;
+        while (recorded != l.by_machine().end() && recorded->first < id) ++recorded;
+        if (recorded != l.by_machine().end() && recorded->first == id) {
+            m.held = &recorded->second.tasks;
+            const RoomMemory::Use* same = nullptr;
+            if (memory != nullptr) {
+                while (known != memory->uses.end() && known->machine < id) ++known;
+                if (known != memory->uses.end() && known->machine == id &&
+                    known->session == view.last.session && known->content_tick == view.content_tick &&
+                    known->version == recorded->second.version)
+                    same = &*known;
+            }
+            const Amount used = same != nullptr ? same->amount : used_on(view, *m.held);
+            m.free -= used;
+            if (memory != nullptr) {
+                uses.push_back({id, view.last.session, view.content_tick, recorded->second.version, used});
+            }
         }
         room.machines_.push_back(std::move(m));
     }
+    if (memory != nullptr) {
+        memory->spare_uses = std::move(memory->uses);
+        memory->uses = std::move(uses);
+    }
     room.sorted_ = room.machines_.size();
     // These sets are small beside the fleet.
     const auto mark = [&](const std::string& id, auto&& change) {
@@ -44,6 +84,13 @@
     return room;
 }
 
+void Room::recycle(RoomMemory& memory) {
+    memory.spare_machines = std::move(machines_);
+    machines_.clear();
+    sorted_ = 0;
+    trail_.clear();
+}
+
 std::size_t Room::at(const std::string& id) const {
     const auto end = machines_.begin() + static_cast<std::ptrdiff_t>(sorted_);
     const auto it = std::lower_bound(machines_.begin(), end, id,
--- a/src/core/room.hpp
+++ b/src/core/room.hpp
@@ -23,6 +23,7 @@
     bool candidate = false;  // a destination of last resort
     Amount free;
     std::uint64_t session = 0;
+    const HeldTasks* held = nullptr;  // recorded on it; null when there are none
 
     double use() const { return type->size.cpus <= 0 ? 0 : 1 - free.cpus / type->size.cpus; }
     double price() const { return spot ? type->spot_price : type->price; }
@@ -38,9 +39,26 @@
     std::map<std::string, Micros> banned_until;  // steady: machines on which tasks failed or were refused
 };
 
+// What recorded attempts use on each machine, as the last room was built. A pass builds its room anew, and
+// most machines are as they were in the one before.
+struct RoomMemory {
+    struct Use {
+        std::string machine;
+        std::uint64_t session = 0;
+        std::uint64_t content_tick = 0;
+        std::uint64_t version = 0;  // of the ledger's record
+        Amount amount;
+    };
+    std::vector<Use> uses;  // in the machines' order
+    // Memory for the next room: large blocks that come and go with every pass make the allocator tidy up.
+    std::vector<Use> spare_uses;
+    std::vector<RoomMachine> spare_machines;
+};
+
 class Room {
   public:
-    static Room build(const Picture& p, const Ledger& l, const Catalog& c, const Availability& a);
+    static Room build(const Picture& p, const Ledger& l, const Catalog& c, const Availability& a,
+                      RoomMemory* memory = nullptr);
 
     std::vector<RoomMachine>& machines() { return machines_; }
     const std::vector<RoomMachine>& machines() const { return machines_; }
@@ -49,6 +67,9 @@
     const RoomMachine* find(const std::string& id) const;
     std::size_t add(RoomMachine m);
 
+    // Leaves its memory to the next one; the room is empty afterwards.
+    void recycle(RoomMemory& memory);
+
     void take(std::size_t at, const Amount& need);
     void give(std::size_t at, const Amount& need);
     // Trials nest by position: revert(mark()) takes back all that came after.
--- a/src/io/http.cpp
+++ b/src/io/http.cpp
@@ -158,8 +158,17 @@
 
 Task<void> HttpServer::serve() {
     while (true) {
-        // Backpressure: at the limit nothing is accepted, and the load balancer tries another node.
-        while (open_ >= limits_.connections) co_await closed_.wait();
+        // At the limit the connection that has rested longest makes place: half-open ones would else keep
+        // users and health checks out. With none at rest nothing is accepted, and the load balancer tries
+        // another node.
+        while (open_ >= limits_.connections) {
+            if (!resting_.empty()) {
+                Socket& longest = *resting_.front().socket;
+                resting_.pop_front();
+                longest.shut();
+            }
+            co_await closed_.wait();
+        }
         Socket socket = co_await listener_.accept();
         ++open_;
         connections_.spawn(connection(std::move(socket)));
@@ -185,6 +194,8 @@
         Micros deadline = steady_now() + (started ? limits_.request_time : limits_.idle_time);
         while (!m->complete && !broken) {
             if (pending.empty()) {
+                Resting rest{socket};
+                if (!started) resting_.push_back(rest);
                 const auto n = co_await socket.read(buffer.data(), buffer.size(), deadline);
                 if (!n || *n == 0) co_return;
                 if (!started) {
@@ -203,7 +214,7 @@
             if (seen > limits_.head_bytes + 16 * limits_.body_bytes) broken = true;
         }
         HttpResponse response;
-        bool keep = !broken && m->keep_alive;
+        bool keep = !broken && m->keep_alive && open_ <= limits_.kept;
         if (broken) {
             response.status = 400;
         } else {
@@ -221,17 +232,66 @@
     }
 }
 
+void HttpClient::drop(IdleList::iterator at) {
+    const auto pool = by_address_.find(at->to);
+    std::erase(pool->second, at);
+    if (pool->second.empty()) by_address_.erase(pool);
+    idle_.erase(at);
+}
+
+void HttpClient::forget(Address to) {
+    const auto pool = by_address_.find(to);
+    if (pool == by_address_.end()) return;
+    for (const auto& at : pool->second) idle_.erase(at);
+    by_address_.erase(pool);
+    closed_.notify_all();
+}
+
+std::optional<Socket> HttpClient::take_idle(Address to) {
+    for (auto pool = by_address_.find(to); pool != by_address_.end(); pool = by_address_.find(to)) {
+        const auto at = pool->second.back();
+        Socket socket = std::move(at->socket);
+        drop(at);
+        if (!socket.is_stale()) return socket;
+    }
+    return std::nullopt;
+}
+
+void HttpClient::keep(Address to, Socket socket) {
+    auto& pool = by_address_[to];
+    if (pool.size() >= idle_limit_) return;
+    idle_.push_back({to, std::move(socket)});
+    pool.push_back(std::prev(idle_.end()));
+}
+
 Task<HttpReply> HttpClient::send(Address to, std::string method, std::string target, std::string body,
                                  Micros deadline, std::size_t most_bytes) {
     HttpReply reply;
-    std::optional<Socket> socket;
-    if (const auto pool = idle_.find(to); pool != idle_.end()) {
-        while (!pool->second.empty() && !socket) {
-            socket.emplace(std::move(pool->second.back()));
-            pool->second.pop_back();
-            if (socket->is_stale()) socket.reset();
+    // One bound for what is in use and what is idle: with an idle connection to each worker of a large fleet
+    // there would be none left for those that report.
+    std::optional<Socket> socket = take_idle(to);
+    while (!socket && in_use_ + idle_.size() >= most_) {
+        if (!idle_.empty()) {
+            drop(idle_.begin());
+            continue;
+        }
+        const bool some = co_await closed_.wait(deadline);
+        if (!some) {
+            reply.never_sent = true;
+            co_return reply;
         }
+        socket = take_idle(to);
     }
+    struct Use {
+        HttpClient& c;
+        explicit Use(HttpClient& client) : c(client) { ++c.in_use_; }
+        ~Use() {
+            --c.in_use_;
+            c.closed_.notify_all();
+        }
+        Use(const Use&) = delete;
+        Use& operator=(const Use&) = delete;
+    } use{*this};
     if (!socket) {
         auto fresh = co_await connect(loop_, to, deadline);
         if (!fresh) {
@@ -268,10 +328,7 @@
     reply.status = static_cast<int>(m->parser.status_code);
     reply.body = std::move(m->body);
     reply.retry_after_s = m->retry_after_s;
-    if (m->keep_alive) {
-        auto& back = idle_[to];
-        if (back.size() < idle_limit_) back.push_back(std::move(*socket));
-    }
+    if (m->keep_alive) keep(to, std::move(*socket));
     co_return reply;
 }
 
--- a/src/io/socket.cpp
+++ b/src/io/socket.cpp
@@ -72,6 +72,8 @@
     return n >= 0 || !would_block();
 }
 
+void Socket::shut() { ::shutdown(watch_->fd(), SHUT_RDWR); }
+
 Task<std::optional<Socket>> connect(Loop& loop, Address to, Micros deadline) {
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     if (fd < 0) co_return std::nullopt;
--- a/src/io/socket.hpp
+++ b/src/io/socket.hpp
@@ -31,6 +31,8 @@
     Task<bool> write(std::string_view data, Micros deadline);
     // True when an idle connection has been closed, or has said something that nobody asked for.
     bool is_stale() const;
+    // Ends the connection: whoever waits for its bytes sees the end of the stream.
+    void shut();
 
   private:
     std::unique_ptr<FdWatch> watch_;
--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -168,7 +168,8 @@
                                   static_cast<std::size_t>(static_cast<double>(n_.picture.machines().size()) *
                                                            n_.tunables.rent_share));
         const auto wanted = core::plan_rentals(
-            settings, in, core::Room::build(n_.picture, n_.ledger, *n_.catalog, n_.availability()));
+            settings, in,
+            core::Room::build(n_.picture, n_.ledger, *n_.catalog, n_.availability(), &n_.room_memory));
         for (const auto& [pool, number] : wanted) {
             if (!n_.leads()) break;
             // Never used twice, by any life of any node: the grant names this life.
@@ -276,7 +277,9 @@
         settings.busy_cap =
             std::max(settings.busy_cap, static_cast<std::size_t>(fleet * n_.tunables.drain_busy_share));
         const auto plan = core::plan_drains(
-            settings, in, core::Room::build(n_.picture, n_.ledger, *n_.catalog, n_.availability()), drain_);
+            settings, in,
+            core::Room::build(n_.picture, n_.ledger, *n_.catalog, n_.availability(), &n_.room_memory),
+            drain_);
         n_.candidates.clear();
         for (const auto& [id, since] : drain_.candidate_since) n_.candidates.insert(id);
         std::vector<std::string> chosen = plan.empty;
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -22,7 +22,7 @@
       settings(std::move(s)),
       tunables(t),
       state(l, settings),
-      workers_http(l, 1),
+      workers_http(l, 1, settings.max_connections / 4),
       cloud_http(l, 2),
       advanced(l),
       hurry(l),
@@ -54,10 +54,22 @@
     return Micros{static_cast<std::int64_t>((settings.report_s * 2 + 6) * 1e6)};
 }
 
-std::size_t Node::workers_here() const {
-    const Micros since = io::wall_now() - Micros{static_cast<std::int64_t>(settings.report_s * 1.5e6)};
-    return static_cast<std::size_t>(std::count_if(answered_here.begin(), answered_here.end(),
-                                                  [&](const auto& a) { return a.second >= since; }));
+std::size_t Node::workers_here() {
+    const Micros since =
+        io::steady_now() - Micros{static_cast<std::int64_t>((settings.report_s * 1.5 + 2) * 1e6)};
+    std::erase_if(homed_, [&](const auto& h) { return h.second < since; });
+    return homed_.size();
+}
+
+std::vector<std::string> Node::other_homes() const {
+    const Micros now = io::steady_now();
+    std::vector<std::string> out;
+    for (const auto& m : epoch.members) {
+        if (m.label == self.label || !peer_fresh(m.label, now)) continue;
+        const wire::MeshBeat& beat = peers.at(m.label).beat;
+        if (beat.grant == m.grant && beat.fit) out.push_back(m.label);
+    }
+    return out;
 }
 
 bool Node::absorb(core::WorkerReport r, Micros heard, bool answer, bool confirmed) {
@@ -89,6 +101,10 @@
         }
     }
     if (!m.confirmed) suspects.try_emplace(machine);
+    // One that did not answer before and has something to say now is asked soon, not after the pause that its
+    // silence earned.
+    if (const auto s = suspects.find(machine); s != suspects.end())
+        s->second.next = std::min(s->second.next, s->second.asked + Micros{500'000});
     const bool news = changed || old_token != m.last.token || m.confirmed != was_confirmed;
     if (news) work.notify_all();
     if (!known) fleet_work.notify_all();
@@ -104,6 +120,7 @@
         // Even the answer to a late copy may have renewed a lease, as far as this node can tell: it bounds
         // the lease's end, and proves nothing about the machine.
         answered_here[machine] = wall;
+        homed_[machine] = last_worker_contact;
         auto& any = answered_any[machine];
         any = std::max(any, wall);
     } else {
@@ -125,6 +142,7 @@
     if (heard.count() != 0) {
         auto& any = answered_any[machine];
         any = std::max(any, heard);
+        homed_.erase(machine);
     }
     absorb(std::move(m.report), heard, false, m.confirmed);
     const auto* view = catalog && !m.images.empty() ? picture.find(machine) : nullptr;
@@ -142,6 +160,7 @@
     if (heard.count() != 0) {
         auto& any = answered_any[m.machine];
         any = std::max(any, heard);
+        homed_.erase(m.machine);
     }
     picture.alive(m.machine, m.session, m.tick, m.token, m.content_tick, io::steady_now(), heard);
 }
@@ -162,6 +181,7 @@
     picture.release(machine);
     answered_here.erase(machine);
     answered_any.erase(machine);
+    homed_.erase(machine);
     suspects.erase(machine);
     released_log.push_back(machine);
     ++released_count;
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <unordered_map>
 
 #include "core/epoch.hpp"
 #include "core/ledger.hpp"
@@ -47,6 +48,7 @@
     io::Signal hurry;     // somebody waits for the copy
 
     core::Picture picture;
+    core::RoomMemory room_memory;
     std::optional<core::Catalog> catalog;
     core::Member self;
     core::Mandate mandate;
@@ -64,6 +66,7 @@
         io::Micros since{0};  // steady; 0: nothing is known against it, it was only never asked
         io::Micros next{0};   // steady: when to ask again
         io::Micros pause{500'000};
+        io::Micros asked{0};  // steady: when it was last asked
     };
     std::map<std::string, Suspect> suspects;
     io::Micros epoch_seen{0};  // steady: when the present epoch came to this node
@@ -92,13 +95,19 @@
     void note_unanswered(const std::string& machine);
     // After so much silence a report may be a late copy of one sent before it.
     io::Micros doubt_after() const;
-    std::size_t workers_here() const;  // that this node answered of late
+    std::size_t workers_here();  // that report to this node
+    void moved_away(const std::string& machine) { homed_.erase(machine); }
+    // Members that can do a node's part for workers, this one apart.
+    std::vector<std::string> other_homes() const;
     void note_released(const std::string& machine);
     // Certain that the machine's lease has ended, wherever it reported.
     bool lease_over(const std::string& machine, io::Micros wall) const;
     core::Availability availability() const;
 
   private:
+    // Workers that this node was the last to answer: steady, when. A count of those answered of late would
+    // hold the ones that have just been sent elsewhere, and send on as many again.
+    std::unordered_map<std::string, io::Micros> homed_;
     bool absorb(core::WorkerReport r, io::Micros heard, bool answer, bool confirmed);
 };
 
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -19,8 +19,16 @@
 constexpr Micros kEndsWait{4'000'000};
 constexpr Micros kEmptyPages{3'000'000};
 constexpr double kChunksPerPage = 4;  // about so many are written together
-// A page is written and read whole on every node for each change: larger ones save writes and cost time.
-constexpr std::size_t kPageBytes = 5 * 1024;
+// A page is written and read whole on every node for each change: larger ones save writes and cost time. So
+// much may be read a second by a node with a whole core, at the store's full rate of writes; a small node
+// with 14 KiB to each page spent its time on reading.
+constexpr double kReadBytes = 2.4e6;
+constexpr std::size_t kLeastPageBytes = 5 * 1024;
+
+std::size_t page_bytes(const Settings& s) {
+    const auto affordable = static_cast<std::size_t>(kReadBytes * s.cpu_share / s.state_write_rps);
+    return std::min(std::max(affordable, kLeastPageBytes), static_cast<std::size_t>(s.value_kb * 1024 * 0.9));
+}
 constexpr std::size_t kTxnBytes = 56 * 1024;  // of the JSON form
 }  // namespace
 
@@ -91,30 +99,37 @@
     workers_.order(a.machine, a.session, {core::OrderKind::stop, job, task, a.number, grace_s});
 }
 
-void Owner::settle_attempt(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task,
-                           const core::Attempt& a) {
-    const Micros now = steady_now();
-    const auto v = core::view_attempt(n_.picture, e.job.id, task, a);
-    const core::MachineView* view = n_.picture.find(a.machine);
-    // Whatever its last report said of the task: when many machines fall silent at once nobody releases them,
-    // and what ran on them has ended with their leases.
-    const bool quiet = view == nullptr || now - view->changed > Micros{3'000'000};
-    if (quiet && v.fate != Fate::exited && v.fate != Fate::gone && n_.lease_over(a.machine, io::wall_now())) {
+Owner::Place Owner::look_at(const std::string& machine, const core::MachineView* view, Micros now) const {
+    // Whatever its last report said of its tasks: when many machines fall silent at once nobody releases
+    // them, and what ran on them has ended with their leases. One that reports has a lease.
+    const Micros since{static_cast<std::int64_t>(std::max(3.0, n_.settings.report_s * 1.5) * 1e6)};
+    const bool quiet = view == nullptr || now - view->changed > since;
+    return {view, quiet && n_.lease_over(machine, io::wall_now()), now};
+}
+
+bool Owner::settle_attempt(Staged& s, const core::JobEntry& e, std::uint32_t task, const core::Attempt& a,
+                           const Place& at) {
+    const Micros now = at.now;
+    const core::MachineView* view = at.view;
+    const std::uint32_t chunk = task / core::kChunkTasks;
+    const auto v = view == nullptr ? core::view_attempt(n_.picture, e.job.id, task, a)
+                                   : core::view_attempt(*view, e.job.id, task, a.number, a.session);
+    if (at.over && v.fate != Fate::exited && v.fate != Fate::gone) {
         spdlog::info("event=lease_over job={} task={} machine={}", e.job.id, task, a.machine);
         close(s, e, chunk, task, a, false);
-        return;
+        return false;
     }
     switch (v.fate) {
         case Fate::exited:
             note_exit(e, a, v.cause);
             close(s, e, chunk, task, a, v.cause == ExitCause::done && e.job.kind != core::JobKind::service);
-            return;
+            return false;
         case Fate::gone:
             close(s, e, chunk, task, a, false);
-            return;
+            return false;
         case Fate::silent:
         case Fate::unlisted: {
-            if (v.fate == Fate::silent) return;
+            if (v.fate == Fate::silent) return false;
             Memo& memo = memos_[{e.job.id, task}];
             if (memo.number != a.number) memo = Memo{a.number, Micros{0}, Micros{0}};
             if (e.job.cancelled) {
@@ -133,29 +148,28 @@
                     workers_.order(a.machine, a.session,
                                    {core::OrderKind::stop, e.job.id, task, a.number, 0});
                 }
-                return;
+                return false;
             }
             // A repeated start is harmless until a reap, and reaps follow the committed end only.
             if (now - memo.last_start >= kResendStart) {
                 memo.last_start = now;
                 workers_.order(a.machine, a.session, {core::OrderKind::start, e.job.id, task, a.number, 0});
             }
-            return;
+            return false;
         }
         case Fate::live:
             break;
     }
     if (e.job.cancelled) {
         stop(e.job.id, task, a, 0, kResendStop);
-        return;
+        return false;
     }
-    const core::MachineView* m = view;
     const bool saves = e.job.checkpoint_s > 0 && v.state == TaskState::running;
-    if (m->notice_until && v.state != TaskState::saving) {
+    if (view->notice_until && v.state != TaskState::saving) {
         // The cloud takes the machine: save at the last moment that surely suffices; what cannot save runs
         // on.
         const Micros need{static_cast<std::int64_t>((e.job.save_s + 3.0) * 1e6)};
-        if (saves && *m->notice_until - now < need)
+        if (saves && *view->notice_until - now < need)
             stop(e.job.id, task, a, e.job.save_s + 1.0, kResendStop * 5);
         if (v.state == TaskState::fetching) stop(e.job.id, task, a, 0, kResendStop);
     } else if (n_.draining.contains(a.machine) && v.state != TaskState::saving) {
@@ -164,14 +178,69 @@
         if (e.job.kind == core::JobKind::service || v.state == TaskState::fetching)
             stop(e.job.id, task, a, 0, kResendStop);
     }
+    return v.state != TaskState::saving && !view->notice_until && !n_.draining.contains(a.machine);
 }
 
-void Owner::settle(Staged& s) {
+void Owner::settle_machines(Staged& s) {
+    const Micros time = steady_now();
+    spare_settled_.clear();
+    spare_settled_.reserve(n_.ledger.by_machine().size());
+    auto view = n_.picture.machines().begin();
+    const auto views_end = n_.picture.machines().end();
+    auto old = settled_.cbegin();
+    for (const auto& [id, recorded] : n_.ledger.by_machine()) {
+        while (view != views_end && view->first < id) ++view;
+        while (old != settled_.cend() && old->machine < id) ++old;
+        const bool known = view != views_end && view->first == id;
+        const Place at = look_at(id, known ? &view->second : nullptr, time);
+        Settled now{id, 0, 0, recorded.version, false};
+        if (known) {
+            now.session = view->second.last.session;
+            now.content_tick = view->second.content_tick;
+            now.calm = old != settled_.cend() && old->machine == id && old->calm &&
+                       old->session == now.session && old->content_tick == now.content_tick &&
+                       old->version == now.version && !at.over && !view->second.notice_until &&
+                       !n_.draining.contains(id);
+        }
+        if (!now.calm) {
+            now.calm = known;
+            const core::JobEntry* last = nullptr;
+            bool mine = false;
+            for (const auto& [ref, held] : recorded.tasks) {
+                // One machine's tasks are in the order of their jobs.
+                if (held.entry != last) {
+                    last = held.entry;
+                    mine = n_.owns(last->job.team) && !last->job.cancelled;
+                }
+                if (!mine) continue;
+                const core::Attempt a{held.number, id, held.session};
+                if (!settle_attempt(s, *last, ref.task, a, at)) now.calm = false;
+            }
+        }
+        spare_settled_.push_back(std::move(now));
+    }
+    std::swap(settled_, spare_settled_);
+}
+
+void Owner::settle_cancelled(Staged& s) {
     for (const auto& [id, e] : n_.ledger.jobs()) {
-        if (!n_.owns(e.job.team)) continue;
+        if (!e.job.cancelled || e.open == 0 || !n_.owns(e.job.team)) continue;
         for (const auto& [i, c] : e.chunks) {
-            for (const auto& [task, a] : c.open) settle_attempt(s, e, i, task, a);
+            for (const auto& [task, a] : c.open)
+                settle_attempt(s, e, task, a, look_at(a.machine, n_.picture.find(a.machine), steady_now()));
         }
+    }
+}
+
+void Owner::settle(Staged& s) {
+    // A node without a team has nobody's tasks to look after.
+    if (std::none_of(n_.epoch.owners.begin(), n_.epoch.owners.end(),
+                     [&](const auto& o) { return o.second == n_.self.label; }))
+        return;
+    settle_machines(s);
+    settle_cancelled(s);
+    for (const auto& [id, e] : n_.ledger.jobs()) {
+        if (!n_.owns(e.job.team)) continue;
         std::uint32_t done = e.done;
         std::uint32_t open = e.open;
         for (auto it = s.chunks.lower_bound({id, 0}); it != s.chunks.end() && it->first.first == id; ++it) {
@@ -213,7 +282,7 @@
     for (const auto& [id, t] : machine_trouble_) {
         if (t.until > in.now) availability.banned_until[id] = t.until;
     }
-    core::Room room = core::Room::build(n_.picture, n_.ledger, *n_.catalog, availability);
+    core::Room room = core::Room::build(n_.picture, n_.ledger, *n_.catalog, availability, &n_.room_memory);
     // Room that another owner has cleared: without this the victim's owner, which hears of the exit as soon
     // as anyone, puts the task right back and is stopped again, over and over.
     std::erase_if(n_.foreign_holds, [&](const auto& h) {
@@ -222,6 +291,7 @@
     });
     for (const auto& [ref, h] : n_.foreign_holds) in.foreign.push_back(h);
     auto result = core::place(in, room);
+    room.recycle(n_.room_memory);
     for (const auto& [ref, r] : result.reservations) {
         // Told again before it runs out on the others' side.
         auto& told = announced_[ref];
@@ -283,9 +353,12 @@
     for (const auto& [id, m] : n_.picture.machines()) name = std::max(name, id.size());
     const auto reserve = [&](const core::JobEntry& e, std::uint32_t chunk) {
         const std::uint32_t tasks = std::min(core::kChunkTasks, e.job.tasks - chunk * core::kChunkTasks);
-        return 90 + e.job.id.size() + tasks * (name + 20);
+        // What is done stays done, and takes less.
+        const auto c = e.chunks.find(chunk);
+        const std::uint32_t done = c == e.chunks.end() ? 0 : c->second.done.size();
+        return 90 + e.job.id.size() + (tasks - done) * (name + 20) + done * 10;
     };
-    const auto room = std::min(kPageBytes, static_cast<std::size_t>(n_.settings.value_kb * 1024 * 0.9));
+    const std::size_t room = page_bytes(n_.settings);
     std::map<core::PageKey, std::size_t> load;
     for (const auto& [key, page] : n_.ledger.pages()) {
         if (!n_.owns(key.first)) continue;
@@ -493,6 +566,7 @@
             memos_.clear();
             reservations_.clear();
             waiting_since_.clear();
+            settled_.clear();
         }
         const Micros began = steady_now();
         Staged s;
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -56,8 +56,18 @@
     };
 
     void settle(Staged& s);
-    void settle_attempt(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task,
-                        const core::Attempt& a);
+    // What is the same for all attempts on one machine.
+    struct Place {
+        const core::MachineView* view = nullptr;  // null: not in the picture
+        bool over = false;                        // its lease has certainly ended
+        io::Micros now{0};                        // steady
+    };
+    Place look_at(const std::string& machine, const core::MachineView* view, io::Micros now) const;
+    // True when there is nothing to do for it before its machine, its record or its job changes.
+    bool settle_attempt(Staged& s, const core::JobEntry& e, std::uint32_t task, const core::Attempt& a,
+                        const Place& at);
+    void settle_machines(Staged& s);
+    void settle_cancelled(Staged& s);
     void note_exit(const core::JobEntry& e, const core::Attempt& a, core::ExitCause cause);
     void close(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task,
                const core::Attempt& a, bool done);
@@ -74,6 +84,17 @@
     Node& n_;
     Replica& replica_;
     Workers& workers_;
+    // Machines with recorded attempts as the last pass left them, in order: most are as they were, and
+    // looking at every attempt in every pass took half of a node's time.
+    struct Settled {
+        std::string machine;
+        std::uint64_t session = 0;
+        std::uint64_t content_tick = 0;
+        std::uint64_t version = 0;
+        bool calm = false;  // nothing to do before one of these changes
+    };
+    std::vector<Settled> settled_;
+    std::vector<Settled> spare_settled_;  // its memory serves the next pass
     std::map<core::TaskRef, Memo> memos_;
     std::map<std::string, Trouble> machine_trouble_;
     std::map<std::string, Trouble> job_trouble_;
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -9,9 +9,11 @@
 namespace {
 io::HttpLimits limits(const Settings& s) {
     io::HttpLimits l;
-    // Sockets for workers, store, cloud and mesh stay free; a connection's buffers take some 8 KiB.
+    // What workers, store, cloud and mesh need goes out through sockets of their own; see Node. A
+    // connection's buffers take some 8 KiB.
     const auto by_memory = static_cast<std::size_t>(s.memory_mb * 1024 / 2 / 32);
-    l.connections = std::min(s.max_connections * 2 / 3, std::max<std::size_t>(by_memory, 64));
+    l.connections = std::min(s.max_connections * 5 / 8, std::max<std::size_t>(by_memory, 64));
+    l.kept = l.connections * 3 / 4;
     return l;
 }
 HttpResponse status(int code) {
--- a/src/service/workers.cpp
+++ b/src/service/workers.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 namespace hatchwind::service {
 
 using io::HttpResponse;
@@ -29,15 +31,15 @@
     // while its lease runs out.
     if (!n_.acting() || r->token > n_.epoch.number) {
         out.status = 421;
-        const Micros now = steady_now();
-        for (const auto& m : n_.epoch.members) {
-            if (m.label != n_.self.label && n_.peer_fresh(m.label, now) &&
-                n_.peers[m.label].beat.grant == m.grant && n_.peers[m.label].beat.fit) {
-                out.body = wire::encode(wire::home_answer(m.label));
-                break;
-            }
-        }
-        if (out.body.empty()) out.body = wire::encode(wire::home_answer(""));
+        // In turn: when a node falls silent, whoever comes first in the list would bear all its workers.
+        const auto homes = n_.other_homes();
+        out.body = wire::encode(wire::home_answer(homes.empty() ? "" : homes[turn_++ % homes.size()]));
+        co_return out;
+    }
+    if (const std::string home = better_home(); !home.empty()) {
+        n_.moved_away(r->machine);
+        out.status = 421;
+        out.body = wire::encode(wire::home_answer(home));
         co_return out;
     }
     n_.take_report(std::move(*r), true);
@@ -45,6 +47,30 @@
     co_return out;
 }
 
+std::string Workers::better_home() {
+    // Workers stay where they are answered, so after a restart or a cut one node would bear the fleet's
+    // reports for good. A few a second move; the rest never notice.
+    const Micros now = steady_now();
+    if (now < next_move_) return {};
+    if (now - counted_ > Micros{1'000'000}) {
+        counted_ = now;
+        here_ = n_.workers_here();
+        loads_.clear();
+        for (const auto& label : n_.other_homes()) loads_[label] = n_.peers.at(label).beat.workers;
+    }
+    std::size_t all = here_;
+    for (const auto& [label, load] : loads_) all += load;
+    const std::size_t part = all / (loads_.size() + 1);
+    const auto to = std::min_element(loads_.begin(), loads_.end(),
+                                     [](const auto& a, const auto& b) { return a.second < b.second; });
+    if (to == loads_.end() || here_ <= part + part / 4 + 4 || to->second >= part) return {};
+    // A twentieth of them in a second.
+    next_move_ = now + Micros{20'000'000} / static_cast<std::int64_t>(here_);
+    --here_;
+    ++to->second;
+    return to->first;
+}
+
 void Workers::order(const std::string& machine, std::uint64_t session, core::Order o) {
     Outbox& box = outboxes_[machine];
     if (box.session != session || box.epoch != n_.epoch.number) {
@@ -152,7 +178,7 @@
     }
     const auto it = n_.suspects.find(machine);
     if (it == n_.suspects.end()) co_return;
-    it->second.pause = std::min(it->second.pause * 2, Micros{4'000'000});
+    it->second.pause = std::min(it->second.pause * 2, Micros{8'000'000});
     n_.note_unanswered(machine);
 }
 
@@ -163,16 +189,23 @@
         co_await n_.loop.sleep(Micros{200'000});
         if (!n_.synced) continue;
         const Micros now = steady_now();
-        std::vector<std::string> due;
         std::erase_if(n_.suspects, [&](const auto& s) { return n_.picture.find(s.first) == nullptr; });
+        // Those that wait longest go first: by name, some dozens of dead machines at the list's head took all
+        // the turns, and live ones behind them stayed unused. So many at a time as lets a whole fleet answer
+        // within seconds of a takeover.
+        std::vector<std::pair<Micros, std::string>> due;
         for (const auto& [machine, s] : n_.suspects) {
-            if (asking_ + due.size() >= kAsking) break;
-            if (s.next <= now) due.push_back(machine);
+            if (s.next <= now) due.emplace_back(s.next, machine);
         }
-        for (const auto& machine : due) {
-            n_.suspects[machine].next = now + Micros{2'000'000};
+        const std::size_t most = std::max(kAsking, n_.picture.machines().size() / 8);
+        const std::size_t number = std::min(due.size(), most - std::min(most, asking_));
+        std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(number), due.end());
+        for (std::size_t i = 0; i < number; ++i) {
+            Node::Suspect& s = n_.suspects[due[i].second];
+            s.next = now + Micros{2'000'000};
+            s.asked = now;
             ++asking_;
-            scope_.spawn(ask(machine));
+            scope_.spawn(ask(due[i].second));
         }
     }
 }
--- a/src/service/workers.hpp
+++ b/src/service/workers.hpp
@@ -46,8 +46,15 @@
     };
     void settle_copy(const core::Order& o, std::uint64_t epoch);
     io::Task<void> ask(std::string machine);
+    // Where a worker should report instead, when this node bears far more of them than its part.
+    std::string better_home();
     std::map<AttemptKey, Sent> unanswered_;
     std::size_t asking_ = 0;
+    std::size_t turn_ = 0;                      // of the homes that are named
+    io::Micros counted_{0};                     // steady: when the loads below were looked at
+    io::Micros next_move_{0};                   // steady: when the next worker may be sent to another node
+    std::size_t here_ = 0;                      // workers of this node
+    std::map<std::string, std::size_t> loads_;  // of the other members
     std::uint64_t malformed_ = 0;
 };
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -446,8 +446,16 @@
 Json chunk_record(const core::Chunk& c) {
     Json done = Json::array();
     for (const auto& [from, to] : c.done.ranges()) done.push_back({from, to});
+    // By machine and session, since a job's tasks share machines: [machine, session, "task.attempt,..."]. The
+    // size of what is written decides how many jobs share a write, and of what is read how long that takes.
+    std::map<std::pair<std::string_view, std::uint64_t>, std::string> by_machine;
+    for (const auto& [task, a] : c.open) {
+        std::string& text = by_machine[{a.machine, a.session}];
+        if (!text.empty()) text += ',';
+        text += std::to_string(task) + '.' + std::to_string(a.number);
+    }
     Json open = Json::array();
-    for (const auto& [task, a] : c.open) open.push_back({task, a.number, a.machine, a.session});
+    for (auto& [at, text] : by_machine) open.push_back({at.first, at.second, std::move(text)});
     return {{"d", std::move(done)}, {"o", std::move(open)}, {"n", c.last_attempt}};
 }
 
@@ -469,12 +477,29 @@
         c.done.insert(static_cast<std::uint32_t>(from), static_cast<std::uint32_t>(to));
     }
     for (const auto& o : *open) {
-        if (!o.is_array() || o.size() != 4 || !o[0].is_number_unsigned() || !o[1].is_number_unsigned() ||
-            !o[2].is_string() || !o[3].is_number_unsigned()) {
+        if (!o.is_array() || o.size() != 3 || !o[0].is_string() || !o[1].is_number_unsigned() ||
+            !o[2].is_string()) {
             return std::nullopt;
         }
-        c.open[o[0].get<std::uint32_t>()] = {o[1].get<std::uint64_t>(), o[2].get<std::string>(),
-                                             o[3].get<std::uint64_t>()};
+        const auto& text = o[2].get_ref<const std::string&>();
+        const char* at = text.data();
+        const char* const end = at + text.size();
+        while (at != end) {
+            std::uint32_t task = 0;
+            std::uint64_t number = 0;
+            const auto t = std::from_chars(at, end, task);
+            if (t.ec != std::errc{} || t.ptr == end || *t.ptr != '.') return std::nullopt;
+            const auto n = std::from_chars(t.ptr + 1, end, number);
+            // A comma only between two of them.
+            if (n.ec != std::errc{} || (n.ptr != end && (*n.ptr != ',' || n.ptr + 1 == end)))
+                return std::nullopt;
+            if (!c.open
+                     .try_emplace(task,
+                                  core::Attempt{number, o[0].get<std::string>(), o[1].get<std::uint64_t>()})
+                     .second)
+                return std::nullopt;
+            at = n.ptr == end ? end : n.ptr + 1;
+        }
     }
     return c;
 }
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -91,8 +91,10 @@
     io::Address address = test::local(test::free_port());
     io::HttpServer server;
     io::Scope scope;
+    Micros answer_after{0};
     explicit Echo(io::HttpLimits limits = {})
-        : server(loop, address, limits, [](io::HttpRequest r) -> Task<io::HttpResponse> {
+        : server(loop, address, limits, [this](io::HttpRequest r) -> Task<io::HttpResponse> {
+              if (answer_after.count() > 0) co_await loop.sleep(answer_after);
               io::HttpResponse out;
               out.status = r.body_too_large ? 400 : 200;
               out.body = r.method + " " + r.target + " " + r.body;
@@ -183,6 +185,68 @@
     });
 }
 
+// With a connection kept to each worker of a large fleet, none was left for those that report.
+TEST(Http, AClientStaysBelowItsSocketsWhateverIsAskedOfIt) {
+    Echo a;
+    a.answer_after = Micros{5'000};
+    const io::Address other = test::local(test::free_port());
+    io::HttpServer second{
+        a.loop, other, {}, [](io::HttpRequest) -> Task<io::HttpResponse> { co_return io::HttpResponse{}; }};
+    io::Scope scope;
+    scope.spawn(second.serve());
+    run(a.loop, [&]() -> Task<void> {
+        io::HttpClient client{a.loop, 4, 3};
+        std::size_t most = 0;
+        int answered = 0;
+        io::Scope calls;
+        const auto call = [](io::HttpClient& c, io::Address to, int& count) -> Task<void> {
+            auto task = c.send(to, "GET", "/", "", io::steady_now() + Micros{20'000'000});
+            const auto r = co_await std::move(task);
+            count += r.status == 200 ? 1 : 0;
+        };
+        for (int i = 0; i < 40; ++i) calls.spawn(call(client, i % 2 == 0 ? a.address : other, answered));
+        while (answered < 40) {
+            most = std::max(most, client.open_connections());
+            co_await a.loop.sleep(Micros{1'000});
+        }
+        EXPECT_EQ(most, 3U);
+        EXPECT_LE(client.open_connections(), 3U);
+        // All of them at rest with one address: another one's call takes the place of the longest at rest.
+        auto task = client.send(a.address, "GET", "/", "", io::steady_now() + Micros{5'000'000});
+        const auto r = co_await std::move(task);
+        EXPECT_EQ(r.status, 200);
+        client.forget(a.address);
+        client.forget(other);
+        EXPECT_EQ(client.open_connections(), 0U);
+    });
+}
+
+// Half-open connections, and a fleet that keeps its own, held users and health checks out.
+TEST(Http, AServerThatIsFullGivesThePlaceOfWhoRestsLongest) {
+    io::HttpLimits limits;
+    limits.connections = 4;
+    limits.kept = 2;
+    Echo e{limits};
+    run(e.loop, [&]() -> Task<void> {
+        std::vector<io::Socket> idle;
+        for (int i = 0; i < 4; ++i) {
+            auto connecting = io::connect(e.loop, e.address, io::steady_now() + Micros{1'000'000});
+            auto socket = co_await std::move(connecting);
+            EXPECT_TRUE(socket.has_value());
+            if (socket) idle.push_back(std::move(*socket));
+            co_await e.loop.sleep(Micros{5'000});
+        }
+        io::HttpClient client{e.loop};
+        auto task = client.send(e.address, "GET", "/", "", io::steady_now() + Micros{5'000'000});
+        const auto r = co_await std::move(task);
+        EXPECT_EQ(r.status, 200);
+        EXPECT_TRUE(idle.front().is_stale());
+        EXPECT_FALSE(idle.back().is_stale());
+        // Beyond what is kept, an answered connection is closed.
+        EXPECT_EQ(client.open_connections(), 0U);
+    });
+}
+
 TEST(Address, ReadsIpAndPortOnly) {
     EXPECT_TRUE(io::parse_address("10.0.0.1:80").has_value());
     for (const char* bad : {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:99999", "host:80",
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -27,6 +27,61 @@
     return in;
 }
 
+// A room that remembers the last one's sums is the room that is built from nothing, whatever has changed.
+TEST(Room, WithMemoryIsTheSameAsWithout) {
+    holds("same room", [] {
+        Cluster c = test::draw_cluster();
+        core::RoomMemory memory;
+        core::Availability plain;
+        plain.now = c.now;
+        plain.silent_after = core::Micros{10'000'000};
+        core::Stamp stamp = 1000;
+        std::uint64_t tick = 1;
+        for (int round = 0; round < 6; ++round) {
+            const auto a = core::Room::build(c.picture, c.ledger, c.types, plain);
+            const auto b = core::Room::build(c.picture, c.ledger, c.types, plain, &memory);
+            RC_ASSERT(a.machines().size() == b.machines().size());
+            for (std::size_t i = 0; i < a.machines().size(); ++i) {
+                RC_ASSERT(a.machines()[i].id == b.machines()[i].id);
+                RC_ASSERT(std::abs(a.machines()[i].free.cpus - b.machines()[i].free.cpus) < 1e-9);
+                RC_ASSERT(std::abs(a.machines()[i].free.memory_gb - b.machines()[i].free.memory_gb) < 1e-9);
+                RC_ASSERT(a.machines()[i].held == b.machines()[i].held);
+            }
+            if (a.machines().empty()) break;
+            const auto& m = *rc::gen::elementOf(a.machines());
+            const std::string id = m.id;
+            switch (*rc::gen::inRange(0, 4)) {
+                case 0:
+                    c.picture.release(id);
+                    break;
+                case 1: {  // a task ends, or the session does
+                    auto r = c.picture.find(id)->last;
+                    r.tick = ++tick;
+                    if (!r.tasks.empty()) r.tasks.front().state = core::TaskState::exited;
+                    if (*rc::gen::arbitrary<bool>()) ++r.session;
+                    c.picture.apply(r, c.now, c.now);
+                    break;
+                }
+                case 2:
+                    for (const auto& [job, e] : c.ledger.jobs()) {
+                        if (e.chunks.empty()) continue;
+                        core::Chunk chunk = e.chunks.begin()->second;
+                        chunk.stamp = ++stamp;
+                        if (!chunk.open.empty()) chunk.open.erase(chunk.open.begin());
+                        c.ledger.put_chunk(std::string(job), e.chunks.begin()->first, chunk);
+                        break;
+                    }
+                    break;
+                default:
+                    if (!c.ledger.jobs().empty()) {
+                        const std::string job = c.ledger.jobs().begin()->first;
+                        c.ledger.erase_job(job, ++stamp);
+                    }
+            }
+        }
+    });
+}
+
 TEST(DrainPlanner, EveryCandidateSetFitsTogether) {
     holds("candidates leave together", [] {
         const Cluster c = test::draw_cluster();
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -78,6 +78,9 @@
         state_relay_->cut = on;
         for (auto& r : relays_) r->cut = on;
     }
+    std::unique_ptr<test::WorkerStandIn> worker(std::string id) {
+        return std::make_unique<test::WorkerStandIn>(loop, world, std::move(id), "a", addresses_, labels_);
+    }
     const std::vector<std::string>& labels() const { return labels_; }
     bool up(std::size_t i) const { return services_[i] != nullptr; }
     io::Address mesh_address(std::size_t i) const { return mesh_[i]; }
@@ -549,6 +552,60 @@
     });
 }
 
+// Dozens of dead machines took all the turns of asking, and live ones behind them stayed unused for good.
+TEST(Service, ALiveMachineIsConfirmedBesideManyDeadOnes) {
+    Site site{1};
+    site.play([](Site& s) -> Task<void> {
+        // They report once, with an address at which nobody answers.
+        const io::Address nobody = test::local(test::free_port());
+        io::HttpServer dead{s.loop, nobody, {}, [&s](io::HttpRequest) -> Task<io::HttpResponse> {
+                                while (true) co_await s.loop.sleep(Micros{1'000'000});
+                            }};
+        io::Scope scope;
+        scope.spawn(dead.serve());
+        for (int i = 0; i < 300; ++i) {
+            const Json report{{"perch", "a-" + std::to_string(100 + i)},
+                              {"address", test::text_of(nobody)},
+                              {"build", "c4"},
+                              {"roost", "a"},
+                              {"borrowed", false},
+                              {"stint", 1},
+                              {"tick", 1},
+                              {"baton", 0},
+                              {"warningS", nullptr},
+                              {"legs", Json::array()}};
+            auto step = s.insist("POST", "/hello", report, {200});
+            co_await std::move(step);
+        }
+        {
+            auto step = s.submit("req-1", "x", "sweep", 2);
+            co_await std::move(step);
+        }
+        {
+            auto step = s.until_status("req-1", "done");
+            co_await std::move(step);
+        }
+    });
+}
+
+// Workers stay where they are answered: after a restart one node bore the whole fleet's reports for good.
+TEST(Service, ReportsSpreadOverTheNodes) {
+    Site site{3};
+    site.play([](Site& s) -> Task<void> {
+        std::vector<std::unique_ptr<test::WorkerStandIn>> workers;
+        for (int i = 0; i < 24; ++i)
+            workers.push_back(s.worker("w-" + std::to_string(100 + i)));  // all begin with the first node
+        const std::function<bool()> spread = [&] {
+            std::map<std::size_t, int> at;
+            for (const auto& w : workers) ++at[w->home()];
+            return at.size() == 3 &&
+                   std::all_of(at.begin(), at.end(), [](const auto& n) { return n.second >= 4; });
+        };
+        auto waiting = s.until(spread);
+        co_await std::move(waiting);
+    });
+}
+
 // Copies of reports reach a node that has just started, and one that leads anew.
 TEST(Service, LateCopiesOfReportsBringBackNothing) {
     Site site{2};
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -271,6 +271,7 @@
     io::Address address() const { return address_; }
     const std::string& zone() const { return zone_; }
     std::uint64_t token() const { return token_; }
+    std::size_t home() const { return at_ % nodes_.size(); }  // the node that it reports to
     bool hung = false;
     bool deaf = false;         // its reports arrive, but neither answers nor orders reach it
     bool hold_orders = false;  // requests are kept, and get no answer
@@ -345,7 +346,6 @@
         co_return reply(200, describe());
     }
     io::Task<void> report() {
-        std::size_t at = 0;
         while (true) {
             co_await loop_.sleep(io::Micros{100'000});
             while (hung) co_await loop_.sleep(io::Micros{20'000});
@@ -357,7 +357,7 @@
                 began_ = sent;
             }
             last_report = describe();
-            auto task = client_.send(nodes_[at % nodes_.size()], "POST", "/hello", wire::encode(last_report),
+            auto task = client_.send(nodes_[at_ % nodes_.size()], "POST", "/hello", wire::encode(last_report),
                                      sent + io::Micros{700'000});
             auto r = co_await std::move(task);
             if (deaf) r.status = 0;
@@ -368,10 +368,10 @@
                 execute((*v)["calls"]);
                 continue;
             }
-            ++at;
+            ++at_;
             if (r.status == 421 && v && v->contains("home")) {
                 for (std::size_t i = 0; i < labels_.size(); ++i) {
-                    if (labels_[i] == (*v)["home"]) at = i;
+                    if (labels_[i] == (*v)["home"]) at_ = i;
                 }
             }
         }
@@ -402,6 +402,7 @@
     io::Scope scope_;
     std::map<std::string, TaskState> tasks_;
     std::uint64_t session_ = 1, tick_ = 0, token_ = 0;
+    std::size_t at_ = 0;
     io::Micros began_;
     io::HttpServer server_;
 };
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -129,6 +129,25 @@
     });
 }
 
+TEST(Records, DamagedChunksAreRefused) {
+    const auto good =
+        *wire::decode(wire::encode({{"d", wire::Json::array({wire::Json::array({0U, 3U})})},
+                                    {"o", wire::Json::array({wire::Json::array({"n-1", 1U, "4.1,5.2"})})},
+                                    {"n", 2U}}));
+    EXPECT_TRUE(wire::parse_chunk_record(good, 1).has_value());
+    for (const char* bad : {"4", "4.", ".1", "4.1,", ",4.1", "4.1;5.1", "4.1,4.2", "x.1", "4.-1", " 4.1"}) {
+        auto v = good;
+        v["o"][0][2] = bad;
+        EXPECT_FALSE(wire::parse_chunk_record(v, 1).has_value()) << bad;
+    }
+    for (const wire::Json& bad : {wire::Json{1U, 1U, "4.1"}, wire::Json{"n-1", "1", "4.1"},
+                                  wire::Json{"n-1", 1U, 4U}, wire::Json{"n-1", 1U}}) {
+        auto v = good;
+        v["o"][0] = bad;
+        EXPECT_FALSE(wire::parse_chunk_record(v, 1).has_value()) << bad.dump();
+    }
+}
+
 TEST(Names, JobIdsAndTaskNames) {
     EXPECT_TRUE(wire::is_job_id("req-000412"));
     for (const char* bad :
