--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -563,8 +563,8 @@
                             }};
         io::Scope scope;
         scope.spawn(dead.serve());
-        for (int i = 0; i < 300; ++i) {
-            const Json report{{"perch", "a-" + std::to_string(100 + i)},
+        for (int i = 0; i < 1200; ++i) {
+            const Json report{{"perch", "a-" + std::to_string(1000 + i)},
                               {"address", test::text_of(nobody)},
                               {"build", "c4"},
                               {"roost", "a"},
@@ -577,6 +577,8 @@
             auto step = s.insist("POST", "/hello", report, {200});
             co_await std::move(step);
         }
+        // By then no report shows by its token alone that it is new.
+        co_await s.loop.sleep(Micros{7'000'000});
         {
             auto step = s.submit("req-1", "x", "sweep", 2);
             co_await std::move(step);
