One piece for what stood twice: names and value sizes, mesh reports, answers told by others, test set-up

- Picture::longest_name and Settings::value_bytes serve the pages and the draining marks
- Mesh::describe serves forwarding and filling a link; only the latter adds the images
- Node::answered_elsewhere serves whole and short reports of other nodes
- the victims of a placing pass are one list of optionals in place of two in step

--- a/src/core/picture.cpp
+++ b/src/core/picture.cpp
@@ -97,6 +97,12 @@
     return it == machines_.end() ? nullptr : &it->second;
 }
 
+std::size_t Picture::longest_name() const {
+    std::size_t most = 10;
+    for (const auto& [id, m] : machines_) most = std::max(most, id.size());
+    return most;
+}
+
 AttemptView view_attempt(const Picture& p, const std::string& job, std::uint32_t task, const Attempt& a) {
     AttemptView v;
     if (p.released(a.machine)) {
--- a/src/core/picture.hpp
+++ b/src/core/picture.hpp
@@ -66,6 +66,8 @@
     void confirm(const std::string& machine);
     const std::map<std::string, MachineView>& machines() const { return machines_; }
     const MachineView* find(const std::string& machine) const;
+    // For records of the store that hold names: what one of them takes at the most.
+    std::size_t longest_name() const;
     void forget(const std::string& machine) { machines_.erase(machine); }
 
   private:
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -459,15 +459,11 @@
 
     // What runs on the machine and might be stopped for somebody: the same for every job of a pass.
     std::vector<Victim>& stoppable(std::size_t at) {
-        if (victims_.empty()) {
-            victims_.resize(room_.machines().size());
-            searched_.resize(victims_.size());
-        }
-        std::vector<Victim>& out = victims_[at];
-        if (searched_[at]) return out;
-        searched_[at] = true;
+        if (victims_.empty()) victims_.resize(room_.machines().size());
+        if (victims_[at]) return *victims_[at];
+        std::vector<Victim>& out = victims_[at].emplace();
         const RoomMachine& m = room_.machines()[at];
-        if (!m.usable || m.draining || m.view == nullptr || m.held == nullptr) return out;
+        if (!m.usable || m.draining || m.held == nullptr) return out;
         const JobEntry* last = nullptr;
         std::pair<int, Priority> own;
         for (const auto& [ref, h] : *m.held) {
@@ -538,24 +534,23 @@
         if (chosen.empty()) return false;
         // The victims' room is not free before they have gone: a start into it now would be refused.
         double slowest = 0;
+        const RoomMachine& at = room_.machines()[chosen_at];
         for (Victim* p : chosen) {
             Victim& v = *p;
             used_[v.entry->job.team] -= v.entry->job.need;
             v.stopping = true;
             // A service's users wait now; anything else can wait until the victim has saved.
             const bool saves = e.job.kind != JobKind::service && v.entry->job.checkpoint_s > 0;
-            const RoomMachine& m = room_.machines()[chosen_at];
             out_.stops.push_back({v.entry->job.id,
                                   v.task,
-                                  {v.number, m.id, m.session},
+                                  {v.number, at.id, at.session},
                                   saves ? v.entry->job.save_s + 0.5 : 0});
             slowest = std::max(slowest, out_.stops.back().grace_s);
         }
         room_.take(chosen_at, e.job.need);
         used_[e.job.team] += e.job.need;
         out_.reservations[{e.job.id, task}] = {
-            room_.machines()[chosen_at].id, e.job.need,
-            in_.now + Micros{4'000'000 + static_cast<std::int64_t>(slowest * 1e6)}};
+            at.id, e.job.need, in_.now + Micros{4'000'000 + static_cast<std::int64_t>(slowest * 1e6)}};
         return true;
     }
 
@@ -572,8 +567,7 @@
     std::unordered_map<const JobEntry*, ZoneUse> zones_;
     std::set<Shape> full_for_;
     std::set<std::tuple<Shape, std::pair<int, Priority>, std::string, std::string>> no_victims_;
-    std::vector<std::vector<Victim>> victims_;
-    std::vector<bool> searched_;
+    std::vector<std::optional<std::vector<Victim>>> victims_;  // by machine; none: not looked for yet
     std::vector<std::pair<RoomMachine*, bool>> closed_;
 };
 
--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -288,9 +288,7 @@
         core::DrainSettings settings = n_.tunables.drain;
         const auto fleet = static_cast<double>(n_.picture.machines().size());
         // So many marks surely fit into one value of the store.
-        std::size_t name = 10;
-        for (const auto& [id, view] : n_.picture.machines()) name = std::max(name, id.size());
-        const auto marks_most = static_cast<std::size_t>(n_.settings.value_kb * 1024 * 0.9) / (name + 4);
+        const std::size_t marks_most = n_.settings.value_bytes() / (n_.picture.longest_name() + 4);
         settings.total_cap =
             std::min(marks_most,
                      std::max(settings.total_cap, static_cast<std::size_t>(fleet * n_.tunables.drain_share)));
--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -50,23 +50,18 @@
     link.filled.notify_all();
 }
 
-wire::MeshReport Mesh::describe(const core::MachineView& v) const {
+wire::MeshReport Mesh::describe(const core::MachineView& v, Micros heard) {
     wire::MeshReport m;
     m.report = v.last;
-    m.heard_us = v.heard.count();
+    m.heard_us = heard.count();
     m.confirmed = v.confirmed;
-    for (const auto& [image, i] : v.images) m.images.emplace_back(image, i.gb);
     return m;
 }
 
 void Mesh::forward(const core::MachineView& v, Micros heard, bool whole) {
     std::string frame;
     if (whole) {
-        wire::MeshReport m;
-        m.report = v.last;
-        m.heard_us = heard.count();
-        m.confirmed = v.confirmed;
-        frame = wire::encode_frame(m);
+        frame = wire::encode_frame(describe(v, heard));
     } else {
         frame = wire::encode_frame(wire::MeshAlive{v.last.machine, v.last.session, v.last.tick, v.last.token,
                                                    v.content_tick, heard.count()});
@@ -79,7 +74,11 @@
     link.missed = false;
     link.answered_until = Micros{0};
     link.released_told = 0;
-    for (const auto& [id, view] : n_.picture.machines()) link.out += wire::encode_frame(describe(view));
+    for (const auto& [id, view] : n_.picture.machines()) {
+        wire::MeshReport m = describe(view, view.heard);
+        for (const auto& [image, i] : view.images) m.images.emplace_back(image, i.gb);
+        link.out += wire::encode_frame(m);
+    }
 }
 
 Task<void> Mesh::talk(Link& link) {
--- a/src/service/mesh.hpp
+++ b/src/service/mesh.hpp
@@ -38,7 +38,7 @@
     void push(Link& link, const std::string& frame);
     void fill(Link& link);
     void share_writes();
-    wire::MeshReport describe(const core::MachineView& v) const;
+    static wire::MeshReport describe(const core::MachineView& v, io::Micros heard);
 
     Node& n_;
     Membership& membership_;
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -135,15 +135,18 @@
     forward(*m, answered ? wall : Micros{0}, news);
 }
 
+void Node::answered_elsewhere(const std::string& machine, Micros heard) {
+    if (heard.count() == 0) return;
+    auto& any = answered_any[machine];
+    any = std::max(any, heard);
+    homed_.erase(machine);
+}
+
 void Node::take_forward(wire::MeshReport m) {
     const Micros heard{m.heard_us};
     const std::string machine = m.report.machine;
     if (picture.released(machine)) return;
-    if (heard.count() != 0) {
-        auto& any = answered_any[machine];
-        any = std::max(any, heard);
-        homed_.erase(machine);
-    }
+    answered_elsewhere(machine, heard);
     absorb(std::move(m.report), heard, false, m.confirmed);
     const auto* view = catalog && !m.images.empty() ? picture.find(machine) : nullptr;
     const auto type = view == nullptr ? core::Catalog::const_iterator{} : catalog->find(view->last.type);
@@ -157,11 +160,7 @@
 void Node::take_alive(const wire::MeshAlive& m) {
     const Micros heard{m.heard_us};
     if (picture.released(m.machine)) return;
-    if (heard.count() != 0) {
-        auto& any = answered_any[m.machine];
-        any = std::max(any, heard);
-        homed_.erase(m.machine);
-    }
+    answered_elsewhere(m.machine, heard);
     picture.alive(m.machine, m.session, m.tick, m.token, m.content_tick, io::steady_now(), heard);
 }
 
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -105,6 +105,8 @@
     core::Availability availability() const;
 
   private:
+    // `heard`: time of day at which another node answered it; 0: none did.
+    void answered_elsewhere(const std::string& machine, io::Micros heard);
     // Workers that this node was the last to answer: steady, when. A count of those answered of late would
     // hold the ones that have just been sent elsewhere, and send on as many again.
     std::unordered_map<std::string, io::Micros> homed_;
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -27,7 +27,7 @@
 
 std::size_t page_bytes(const Settings& s) {
     const auto affordable = static_cast<std::size_t>(kReadBytes * s.cpu_share / s.state_write_rps);
-    return std::min(std::max(affordable, kLeastPageBytes), static_cast<std::size_t>(s.value_kb * 1024 * 0.9));
+    return std::min(std::max(affordable, kLeastPageBytes), s.value_bytes());
 }
 constexpr std::size_t kTxnBytes = 56 * 1024;  // of the JSON form
 }  // namespace
@@ -349,8 +349,7 @@
     if (s.chunks.empty()) return out;
 
     // What the pages of this node's teams hold, at the most that their chunks may grow to.
-    std::size_t name = 10;
-    for (const auto& [id, m] : n_.picture.machines()) name = std::max(name, id.size());
+    const std::size_t name = n_.picture.longest_name();
     const auto reserve = [&](const core::JobEntry& e, std::uint32_t chunk) {
         const std::uint32_t tasks = std::min(core::kChunkTasks, e.job.tasks - chunk * core::kChunkTasks);
         // What is done stays done, and takes less.
--- a/src/service/settings.hpp
+++ b/src/service/settings.hpp
@@ -39,6 +39,8 @@
     std::vector<core::Objective> objectives;
     double report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
     double state_rps = 0, state_write_rps = 0, value_kb = 0;
+    // What one value of the store surely holds.
+    std::size_t value_bytes() const { return static_cast<std::size_t>(value_kb * 1024 * 0.9); }
     std::size_t txn_ops = 0;
     double cloud_rps = 0, list_lag_s = 0;
     double cpu_share = 1, memory_mb = 0;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -151,10 +151,9 @@
     EXPECT_TRUE(core::place(input(c), room).starts.empty()) << "no zone holds three";
 }
 
-TEST(Placement, ClearsRoomForProductionAndHoldsIt) {
-    Cluster c;
-    c.teams["x"] = {"x", 4, 24, 0, 0};
-    c.teams["y"] = {"y", 4, 24, 0, 0};
+// One machine, full of req-1's only task. Gives the machine's report and the job's record for what comes
+// next.
+std::pair<core::WorkerReport, core::Chunk> occupy(Cluster& c) {
     auto r = test::report("n-1", "small", "a");
     core::TaskReport t;
     t.job = "req-1";
@@ -167,6 +166,14 @@
     chunk.stamp = 2;
     chunk.open[0] = {1, "n-1", 1};
     c.ledger.put_chunk("req-1", 0, chunk);
+    return {r, chunk};
+}
+
+TEST(Placement, ClearsRoomForProductionAndHoldsIt) {
+    Cluster c;
+    c.teams["x"] = {"x", 4, 24, 0, 0};
+    c.teams["y"] = {"y", 4, 24, 0, 0};
+    auto [r, chunk] = occupy(c);
     auto service = test::job("req-2", "y", 1, 1);
     service.kind = core::JobKind::service;
     service.priority = core::Priority::production;
@@ -200,18 +207,7 @@
     Cluster c;
     c.teams["x"] = {"x", 0, 24, 0, 0};
     c.teams["y"] = {"y", 4, 24, 0, 0};
-    auto r = test::report("n-1", "small", "a");
-    core::TaskReport t;
-    t.job = "req-1";
-    t.attempt = 1;
-    t.state = core::TaskState::running;
-    r.tasks = {t};
-    c.picture.apply(r, c.now, c.now);
-    c.ledger.put_job(test::job("req-1", "x", 1, 4), 1);
-    core::Chunk chunk;
-    chunk.stamp = 2;
-    chunk.open[0] = {1, "n-1", 1};
-    c.ledger.put_chunk("req-1", 0, chunk);
+    occupy(c);
     c.ledger.put_job(test::job("req-2", "y", 2, 4), 3);
     core::Room room = c.room();
     EXPECT_TRUE(core::place(input(c), room).stops.empty());
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -113,6 +113,16 @@
         auto task = insist("POST", "/api/jobs", j, {200, 201});
         co_await std::move(task);
     }
+    // Submits a job and waits until all its tasks run, and nothing else.
+    Task<void> run(std::string id, std::string team, std::string form, int tasks) {
+        auto step = submit(std::move(id), std::move(team), std::move(form), tasks);
+        co_await std::move(step);
+        const std::function<bool()> reached = [&] {
+            return world.running.size() == static_cast<std::size_t>(tasks);
+        };
+        auto waiting = until(reached);
+        co_await std::move(waiting);
+    }
     Task<void> until_status(std::string id, std::string wanted) {
         while (true) {
             auto task = insist("GET", "/api/jobs/" + id, nullptr, {200});
@@ -374,14 +384,9 @@
     site.world.endless = {"req-1"};
     site.play([](Site& s) -> Task<void> {
         {
-            auto step = s.submit("req-1", "x", "service", 2);
+            auto step = s.run("req-1", "x", "service", 2);
             co_await std::move(step);
         }
-        {
-            const std::function<bool()> reached = [&] { return s.world.running.size() == 2; };
-            auto waiting = s.until(reached);
-            co_await std::move(waiting);
-        }
         const std::string machine = s.world.running["req-1/0"];
         s.cloud.workers.at(machine)->hung = true;
         co_await s.loop.sleep(Micros{1'500'000});
@@ -406,14 +411,9 @@
     site.world.endless = {"req-1"};
     site.play([](Site& s) -> Task<void> {
         {
-            auto step = s.submit("req-1", "x", "service", 1);
+            auto step = s.run("req-1", "x", "service", 1);
             co_await std::move(step);
         }
-        {
-            const std::function<bool()> reached = [&] { return s.world.running.size() == 1; };
-            auto waiting = s.until(reached);
-            co_await std::move(waiting);
-        }
         co_await s.loop.sleep(Micros{300'000});  // and it was reported
         const std::string machine = s.world.running["req-1/0"];
         s.cloud.workers.at(machine)->hung = true;
@@ -436,14 +436,9 @@
     site.world.endless = {"req-1"};
     site.play([](Site& s) -> Task<void> {
         {
-            auto step = s.submit("req-1", "x", "service", 2);
+            auto step = s.run("req-1", "x", "service", 2);
             co_await std::move(step);
         }
-        {
-            const std::function<bool()> reached = [&] { return s.world.running.size() == 2; };
-            auto waiting = s.until(reached);
-            co_await std::move(waiting);
-        }
         const auto homes = s.world.running;
         s.state.down = true;
         // Longer than grants and worker leases: only the nodes' promises to each other carry it.
@@ -516,14 +511,9 @@
     site.world.endless = {"req-1"};
     site.play([](Site& s) -> Task<void> {
         {
-            auto step = s.submit("req-1", "x", "service", 2);
+            auto step = s.run("req-1", "x", "service", 2);
             co_await std::move(step);
         }
-        {
-            const std::function<bool()> reached = [&] { return s.world.running.size() == 2; };
-            auto waiting = s.until(reached);
-            co_await std::move(waiting);
-        }
         const std::string machine = s.world.running["req-1/0"];
         const auto session = s.cloud.workers.at(machine)->session();
         s.cloud.workers.at(machine)->deaf = true;
@@ -614,14 +604,9 @@
     site.world.endless = {"req-1"};
     site.play([](Site& s) -> Task<void> {
         {
-            auto step = s.submit("req-1", "x", "service", 1);
+            auto step = s.run("req-1", "x", "service", 1);
             co_await std::move(step);
         }
-        {
-            const std::function<bool()> reached = [&] { return s.world.running.size() == 1; };
-            auto waiting = s.until(reached);
-            co_await std::move(waiting);
-        }
         const std::string machine = s.world.running["req-1/0"];
         const Json early = s.cloud.workers.at(machine)->last_report;
         // Of a machine that was given back long ago and that no node remembers, with a task said to be done.
