Late answers to a node's own commits bring nothing back; a copy that the store refutes is read anew

The same copy would have told a user of a job that is over.

Ruled out: pages that outlive their copy and answers of the watch in another order (each conflict's keys are logged at debug now, and only that one came again and again).

Change: what a node has committed counts only while it is newer than the copy. Beside it, whatever the cause: a conflict that the copy cannot explain once it has reached its revision has the store read anew, at most every 10 s.

Tests: TheLateAnswerToACancelBringsNoJobBack and ACopyThatTheStoreRefutesIsReadAnew; each fails without its guard.

--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -249,7 +249,7 @@
     auto task = n_.state.commit(std::move(t), steady_now() + seconds(2));
     const CommitResult r = co_await std::move(task);
     if (r.outcome != Commit::done) co_return false;
-    replica_.apply({keys::kDraining, record, r.revision});
+    replica_.committed({keys::kDraining, record, r.revision});
     co_return true;
 }
 
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -472,7 +472,7 @@
                 for (std::size_t i = first; i < next; ++i) {
                     for (auto& e : all[i].effects) {
                         e.stamp = r.revision;
-                        replica_.apply(e);
+                        replica_.committed(e);
                     }
                     for (const auto& key : all[i].keys) waiting_since_.erase(key);
                     for (auto& c : all[i].closed) to_reap_.push_back(std::move(c));
@@ -493,7 +493,7 @@
                 continue;
             }
             if (r.outcome == Commit::conflict) {
-                auto reach = replica_.reach(r.revision, steady_now() + Micros{2'000'000});
+                auto reach = replica_.reach_conflict(t.conditions, r, steady_now() + Micros{2'000'000});
                 co_await std::move(reach);
             } else {
                 co_await n_.loop.sleep(Micros{150'000});
@@ -626,7 +626,7 @@
         if (r.outcome == Commit::done) {
             for (auto& e : effects) {
                 e.stamp = r.revision;
-                replica_.apply(e);
+                replica_.committed(e);
             }
         }
     }
--- a/src/service/replica.cpp
+++ b/src/service/replica.cpp
@@ -2,7 +2,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <cstdlib>
+#include <utility>
 
 namespace hatchwind::service {
 
@@ -14,6 +16,16 @@
 constexpr std::string_view kJob = "h/job/";
 constexpr std::string_view kRun = "h/run/";
 constexpr std::string_view kNode = "h/node/";
+constexpr Micros kReadAnew{10'000'000};  // the whole store, at most so often for a copy that is wrong
+
+std::optional<core::PageKey> page_key(std::string_view key) {
+    const auto team_end = key.rfind('/');
+    if (!key.starts_with(kRun) || team_end <= kRun.size()) return std::nullopt;
+    const auto number =
+        static_cast<std::uint32_t>(std::strtoul(std::string(key.substr(team_end + 1)).c_str(), nullptr, 10));
+    if (number == 0) return std::nullopt;
+    return core::PageKey{std::string(key.substr(kRun.size(), team_end - kRun.size())), number};
+}
 }  // namespace
 
 void Replica::apply(const wire::StoreItem& item) {
@@ -47,17 +59,14 @@
             n_.ledger.erase_job(id, item.stamp);
         }
     } else if (key.starts_with(kRun)) {
-        const auto team_end = key.rfind('/');
-        const core::PageKey page{std::string(key.substr(kRun.size(), team_end - kRun.size())),
-                                 static_cast<std::uint32_t>(std::strtoul(
-                                     std::string(key.substr(team_end + 1)).c_str(), nullptr, 10))};
-        ok = team_end > kRun.size() && page.second != 0;
+        const auto page = page_key(key);
+        ok = page.has_value();
         if (ok && item.value) {
             auto chunks = wire::parse_page_record(*item.value);
             ok = chunks.has_value();
-            if (ok) n_.ledger.put_page(page, item.stamp, std::move(*chunks));
+            if (ok) n_.ledger.put_page(*page, item.stamp, std::move(*chunks));
         } else if (ok) {
-            n_.ledger.erase_page(page, item.stamp);
+            n_.ledger.erase_page(*page, item.stamp);
         }
     } else if (key == keys::kDraining && item.value && item.stamp > n_.draining_stamp) {
         auto names = wire::parse_names_record(*item.value);
@@ -70,6 +79,13 @@
     if (!ok) spdlog::error("event=bad_record key={} stamp={}", item.key, item.stamp);
 }
 
+void Replica::committed(const wire::StoreItem& item) {
+    // The answer to a commit may come long after the watch has brought the change, and its deletion too. A
+    // deletion leaves no stamp that would keep the old record out: it would stay in this copy alone, and
+    // every transaction that names it would fail.
+    if (item.stamp > n_.revision) apply(item);
+}
+
 Task<bool> Replica::load() {
     // Until it is whole the old copy serves: it is old, never wrong, and whoever needs more waits for its
     // revision.
@@ -102,6 +118,7 @@
 Task<void> Replica::run() {
     bool loaded = false;
     while (true) {
+        if (std::exchange(wrong_, false)) loaded = false;
         if (!loaded) {
             auto task = load();
             loaded = co_await std::move(task);
@@ -144,6 +161,36 @@
     co_return true;
 }
 
+core::Stamp Replica::stamp_of(std::string_view key) const {
+    if (key.starts_with(kJob)) {
+        const core::JobEntry* e = n_.ledger.find(std::string(key.substr(kJob.size())));
+        return e == nullptr ? 0 : e->stamp;
+    }
+    const auto page = page_key(key);
+    const auto known = page ? n_.ledger.pages().find(*page) : n_.ledger.pages().end();
+    return known == n_.ledger.pages().end() ? 0 : known->second.stamp;
+}
+
+Task<bool> Replica::reach_conflict(std::vector<std::pair<std::string, core::Stamp>> conditions,
+                                   CommitResult conflict, Micros deadline) {
+    auto task = reach(conflict.revision, deadline);
+    const bool reached = co_await std::move(task);
+    if (!reached) co_return false;
+    for (const auto& key : conflict.failed) {
+        const auto c = std::find_if(conditions.begin(), conditions.end(),
+                                    [&](const auto& condition) { return condition.first == key; });
+        // A job may come and go between the conflict and now; any other stamp is never used twice.
+        if (c == conditions.end() || (c->second == 0 && !key.starts_with(kRun))) continue;
+        if (!key.starts_with(kRun) && !key.starts_with(kJob)) continue;
+        if (stamp_of(key) != c->second || steady_now() - found_wrong_ < kReadAnew) continue;
+        // One such record made every group commit fail that named it: two teams stood still for minutes.
+        spdlog::warn("event=copy_wrong key={} stamp={} revision={}", key, c->second, conflict.revision);
+        found_wrong_ = steady_now();
+        wrong_ = true;
+    }
+    co_return true;
+}
+
 Task<bool> Replica::caught_up(Micros deadline) {
     // One read in flight serves all that wait; whoever comes while it is under way needs the next one.
     const std::uint64_t wanted = reads_ + (read_sent_ ? 2 : 1);
--- a/src/service/replica.hpp
+++ b/src/service/replica.hpp
@@ -24,11 +24,18 @@
     // Read index: true once the copy holds all that was committed before the call.
     io::Task<bool> caught_up(io::Micros deadline);
     io::Task<bool> reach(core::Stamp revision, io::Micros deadline);
-    // Takes a change, from the watch or from this node's own commit.
-    void apply(const wire::StoreItem& item);
+    // After a conflict: waits until the copy holds what the conflict was found in. If the copy then still
+    // says what the store has refuted, it is wrong, and the store is read anew.
+    io::Task<bool> reach_conflict(std::vector<std::pair<std::string, core::Stamp>> conditions,
+                                  CommitResult conflict, io::Micros deadline);
+    // Takes what this node has committed itself, before the watch brings it.
+    void committed(const wire::StoreItem& item);
 
   private:
+    void apply(const wire::StoreItem& item);
     io::Task<bool> load();
+    // 0: the copy has no such record.
+    core::Stamp stamp_of(std::string_view key) const;
     Node& n_;
     io::Signal read_done_;
     bool reading_ = false;    // one is under way, or waits for its turn
@@ -37,6 +44,8 @@
     io::Micros last_read_{0};  // steady
     core::Stamp read_revision_ = 0;
     bool read_ok_ = false;
+    bool wrong_ = false;         // the copy, as a conflict has shown
+    io::Micros found_wrong_{0};  // steady
 };
 
 }  // namespace hatchwind::service
--- a/src/service/state_client.cpp
+++ b/src/service/state_client.cpp
@@ -149,6 +149,11 @@
     if (!revision) co_return out;
     out.outcome = r.status == 200 ? Commit::done : Commit::conflict;
     out.revision = *revision;
+    if (out.outcome == Commit::conflict) {
+        out.failed = wire::failed_conditions(*v);
+        spdlog::debug("event=commit_conflict revision={} failed={} first={}", out.revision, out.failed.size(),
+                      out.failed.empty() ? "" : out.failed.front());
+    }
     co_return out;
 }
 
--- a/src/service/state_client.hpp
+++ b/src/service/state_client.hpp
@@ -22,6 +22,7 @@
 struct CommitResult {
     Commit outcome = Commit::unknown;
     core::Stamp revision = 0;
+    std::vector<std::string> failed;  // after a conflict: keys whose conditions did not hold
 };
 
 struct GetResult {
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -130,7 +130,7 @@
         auto task = n_.state.commit(std::move(t), deadline, true);
         const CommitResult r = co_await std::move(task);
         if (r.outcome == Commit::done) {
-            replica_.apply({keys::job(id), wire::job_record(job), r.revision});
+            replica_.committed({keys::job(id), wire::job_record(job), r.revision});
             n_.work.notify_all();
             n_.fleet_work.notify_all();
             co_return with_body(201, wire::job_answer(id, wire::JobStatus::queued));
@@ -202,18 +202,19 @@
         job.cancelled = true;
         job.cancelled_at = io::wall_now();
         wire::Transaction t;
-        t.conditions = {{keys::job(id), e->stamp}};
+        const core::Stamp stamp = e->stamp;
+        t.conditions = {{keys::job(id), stamp}};
         t.writes.push_back({keys::job(id), wire::job_record(job), 0});
         auto task = n_.state.commit(std::move(t), deadline, true);
         const CommitResult r = co_await std::move(task);
         if (r.outcome == Commit::done) {
-            replica_.apply({keys::job(id), wire::job_record(job), r.revision});
+            replica_.committed({keys::job(id), wire::job_record(job), r.revision});
             n_.work.notify_all();
             co_return with_body(200, wire::job_answer(id, wire::JobStatus::cancelled));
         }
         if (r.outcome != Commit::conflict) co_return later();
         // It was finished or cancelled elsewhere in between.
-        auto reach = replica_.reach(r.revision, deadline);
+        auto reach = replica_.reach_conflict({{keys::job(id), stamp}}, r, deadline);
         const bool reached = co_await std::move(reach);
         if (!reached) co_return later();
     }
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -361,6 +361,16 @@
     return page;
 }
 
+std::vector<std::string> failed_conditions(const Json& v) {
+    std::vector<std::string> out;
+    const Json* keys = list(v, "failed");
+    if (keys == nullptr) return out;
+    for (const auto& k : *keys) {
+        if (k.is_string()) out.push_back(k.get<std::string>());
+    }
+    return out;
+}
+
 Json transaction_request(const Transaction& t) {
     Json when = Json::array();
     for (const auto& [key, stamp] : t.conditions) when.push_back({{"path", key}, {"stamp", stamp}});
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -71,6 +71,8 @@
     std::vector<Write> writes;
 };
 Json transaction_request(const Transaction& t);
+// Keys whose conditions failed, from the answer to a transaction that was not carried out.
+std::vector<std::string> failed_conditions(const Json& v);
 
 // Records that this service keeps in the store.
 Json job_record(const core::Job& j);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -298,6 +298,67 @@
     });
 }
 
+// The record came back into the copy of the node that had cancelled the job, after the job's end had been
+// recorded: a user was told of it again, and each group commit of that node that named it failed, for good.
+TEST(Service, TheLateAnswerToACancelBringsNoJobBack) {
+    Site site{1};
+    site.world.endless = {"req-1"};
+    site.state.answer_after = [](const Json& t) {
+        const bool cancels = std::any_of(t["writes"].begin(), t["writes"].end(), [](const Json& w) {
+            return w.contains("write") && w["write"] == "h/job/req-1" && w["v"].contains("cancelled");
+        });
+        return Micros{cancels ? 1'500'000 : 0};
+    };
+    site.play([](Site& s) -> Task<void> {
+        {
+            auto step = s.run("req-1", "x", "service", 2);
+            co_await std::move(step);
+        }
+        auto cancel = s.insist("POST", "/api/jobs/req-1/cancel", nullptr, {200});
+        const Json v = co_await std::move(cancel);
+        EXPECT_EQ(v["status"], "cancelled");
+        EXPECT_TRUE(s.state.items.contains("f/req-1"));
+        const std::size_t before = s.state.conflicts;
+        {
+            auto step = s.submit("req-2", "x", "sweep", 4);
+            co_await std::move(step);
+        }
+        {
+            auto step = s.until_status("req-2", "done");
+            co_await std::move(step);
+        }
+        co_await s.loop.sleep(Micros{500'000});
+        EXPECT_EQ(s.state.conflicts, before);
+    });
+}
+
+// Whatever made the copy wrong: a conflict that the copy cannot explain has the store read anew.
+TEST(Service, ACopyThatTheStoreRefutesIsReadAnew) {
+    Site site{1};
+    site.world.endless = {"req-1"};
+    site.play([](Site& s) -> Task<void> {
+        {
+            auto step = s.run("req-1", "x", "service", 2);
+            co_await std::move(step);
+        }
+        // Somebody else's change, and this node never hears of it.
+        s.state.hidden = [](const Json& e) { return e.contains("delete") && e["delete"] == "h/job/req-1"; };
+        const int gone =
+            s.state.late_commit({{"when", Json::array()}, {"writes", {{{"delete", "h/job/req-1"}}}}});
+        EXPECT_EQ(gone, 200);
+        auto cancel = s.call(0, "POST", "/api/jobs/req-1/cancel", nullptr);
+        co_await std::move(cancel);
+        {
+            const std::function<bool()> reached = [&] { return s.world.running.empty(); };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        auto poll = s.insist("GET", "/api/jobs/req-1", nullptr, {200, 404});
+        const Json v = co_await std::move(poll);
+        EXPECT_FALSE(v.contains("status"));
+    });
+}
+
 TEST(Service, AnotherNodeTakesOverWhenTheLeaderIsKilled) {
     Site site{3};
     site.world.run_time = Micros{1'500'000};
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -17,19 +17,23 @@
 
 using wire::Json;
 
+// Each test process has a loopback address of its own and counts its ports. A free port that the kernel named
+// could be taken between the asking and the listening, by another test or by an outgoing connection, which
+// are given ports at 127.0.0.1.
+inline io::Address local(std::uint16_t port) {
+    const auto pid = static_cast<std::uint32_t>(::getpid());
+    return {0x7f000000U | (0x010000U + pid % 0xfe0000U), port};
+}
 inline std::uint16_t free_port() {
-    const int fd = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in a{};
-    a.sin_family = AF_INET;
-    a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(fd, reinterpret_cast<sockaddr*>(&a), sizeof a);
-    socklen_t n = sizeof a;
-    ::getsockname(fd, reinterpret_cast<sockaddr*>(&a), &n);
-    ::close(fd);
-    return ntohs(a.sin_port);
+    static std::uint16_t last = 10'000;
+    return ++last;
+}
+inline std::string text_of(io::Address a) {
+    std::string out;
+    for (int shift = 24; shift >= 0; shift -= 8)
+        out += std::to_string(a.ip >> shift & 0xffU) + (shift > 0 ? "." : ":");
+    return out + std::to_string(a.port);
 }
-inline io::Address local(std::uint16_t port) { return {0x7f000001, port}; }
-inline std::string text_of(io::Address a) { return "127.0.0.1:" + std::to_string(a.port); }
 
 inline io::HttpResponse reply(int status, const Json& v = Json::object()) {
     io::HttpResponse r;
@@ -114,7 +118,10 @@
     std::size_t most_writes = 0;
     std::uint64_t oldest = 0;  // changes up to it are not kept: whoever watches from before gets 410
     std::size_t page = 1000;
-    std::function<void(const Json&)> on_commit;  // sees every transaction before it is carried out
+    std::function<void(const Json&)> on_commit;           // sees every transaction before it is carried out
+    std::function<io::Micros(const Json&)> answer_after;  // how long a transaction's answer takes
+    std::function<bool(const Json&)> hidden;              // changes that no watch brings
+    std::size_t conflicts = 0;
 
     // A copy of an old request arrives.
     int late_commit(const Json& t) { return commit(t).status; }
@@ -162,6 +169,7 @@
                 Json log = Json::array();
                 for (const auto& e : log_) {
                     const std::string key = e.contains("write") ? e["write"] : e["delete"];
+                    if (hidden && hidden(e)) continue;
                     if (e["stamp"].get<std::uint64_t>() > after && key.starts_with(prefix)) log.push_back(e);
                 }
                 if (!down && (!log.empty() || io::steady_now() >= end))
@@ -186,7 +194,12 @@
             if (it == items.end()) co_return reply(404, {{"ledger", revision}});
             co_return reply(200, {{"path", it->first}, {"v", it->second.value}, {"stamp", it->second.stamp}});
         }
-        if (q.target == "/commit") co_return commit(*body);
+        if (q.target == "/commit") {
+            auto out = commit(*body);
+            const io::Micros wait = answer_after ? answer_after(*body) : io::Micros{0};
+            if (wait.count() > 0) co_await loop_.sleep(wait);
+            co_return out;
+        }
         if (q.target == "/grants") {
             const io::Micros life{(*body)["lifeMs"].get<std::int64_t>() * 1000};
             grants_[++next_grant_] = {life, io::steady_now() + life};
@@ -213,6 +226,7 @@
             if (w.contains("tenure") && !grants_.contains(w["tenure"].get<std::uint64_t>()))
                 return reply(400, {{"error", "no such lease"}});
         }
+        if (!failed.empty()) ++conflicts;
         if (!failed.empty()) return reply(409, {{"failed", failed}, {"ledger", revision}});
         ++revision;
         for (const auto& w : t["writes"]) {
