Work beyond a guarantee leaves room that other teams are owed

Each owner filled what was set free with its own queue, also beyond its teams' guarantees, and the owner of a team that was owed that room stopped the work again after half the guarantee's time.

Change: array work beyond its team's guarantee is not placed into the room that other teams' arrays wait for within theirs, as the store's copy tells every owner. Only demand of the last 60 s counts, so what waits for something else than room keeps nothing idle; an overdue job's first task waits for nobody.

Test: WorkBeyondTheGuaranteeLeavesRoomThatAnotherTeamIsOwed; it fails without the rule.

--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr Micros kOwedFor{60'000'000};
+
 Micros seconds(double s) { return Micros{static_cast<std::int64_t>(s * 1e6)}; }
 
 // Once all wishes are missed: behind what can still be met, since serving the latest first under overload
@@ -98,6 +100,9 @@
         for (const auto& o : *in.objectives) {
             if (o.kind == "guarantee") patience_ = seconds(o.within_s / 2);
         }
+        for (const auto& m : room.machines()) {
+            if (m.usable && !m.draining) (m.spot ? free_spot_ : free_ordinary_) += std::max(0.0, m.free.cpus);
+        }
     }
 
     PlacementResult run() {
@@ -154,7 +159,7 @@
         if (e.job.kind == JobKind::gang) {
             place_gang(e);
         } else {
-            place_tasks(e, 1);
+            place_tasks(e, true);
         }
         if (out_.starts.size() != before || out_.reservations.contains({e.job.id, 0})) return;
         // Holds room where most of it is free: nobody else takes it, so it grows until the task fits.
@@ -221,6 +226,53 @@
         return guaranteed_.contains(j.id);
     }
 
+    // Room that other teams wait for within their guarantees: CPUs on any machine, and the part of them for
+    // which only ordinary machines will do. Services take room by stops, and at once.
+    struct Owed {
+        double any = 0;
+        double ordinary = 0;
+    };
+    Owed owed_to_others(const std::string& team) {
+        if (!owed_known_) {
+            owed_known_ = true;
+            for (const auto& [id, e] : in_.ledger->jobs()) {
+                // What waits long all the same waits for something else, and must not keep the fleet idle.
+                if (e.job.kind != JobKind::array || e.job.cancelled || e.unstarted() == 0 ||
+                    in_.wall - e.job.accepted > kOwedFor || !in_.teams->contains(e.job.team) ||
+                    !within_guarantee(e.job))
+                    continue;
+                Owed& o = owed_[e.job.team];
+                const double waiting = e.job.need.cpus * e.unstarted();
+                o.any += waiting;
+                if (!e.job.spot) o.ordinary += waiting;
+            }
+            for (auto& [name, o] : owed_) {
+                const double due = std::max(0.0, in_.teams->at(name).cpus - used_.at(name).cpus);
+                o = {std::min(o.any, due), std::min(o.ordinary, due)};
+            }
+        }
+        Owed sum;
+        for (const auto& [name, o] : owed_) {
+            if (name == team) continue;
+            sum.any += o.any;
+            sum.ordinary += o.ordinary;
+        }
+        return sum;
+    }
+    // Work beyond its team's guarantee leaves room that others are owed. Each owner filled what was set free
+    // with its own queue, and the others stopped that again within seconds: on a full fleet a fifth of all
+    // starts was lost so.
+    bool leaves_owed(const Job& j, std::size_t at) {
+        if (j.kind != JobKind::array || j.priority == Priority::production || within_guarantee(j))
+            return true;
+        const Owed owed = owed_to_others(j.team);
+        if (owed.any <= kSlack) return true;
+        const bool spot = room_.machines()[at].spot;
+        const double ordinary = free_ordinary_ - (spot ? 0 : j.need.cpus);
+        const double left = free_spot_ - (spot ? j.need.cpus : 0) + std::max(0.0, ordinary - owed.ordinary);
+        return (spot || ordinary >= owed.ordinary) && left >= owed.any - owed.ordinary;
+    }
+
     // Seconds until the image would be there.
     double fetch_s(const Job& j, const RoomMachine& m) const {
         if (m.has_image(j.image)) return 0;
@@ -267,6 +319,7 @@
     void start(const JobEntry& e, std::uint32_t task, std::uint64_t number, std::size_t at) {
         const RoomMachine& m = room_.machines()[at];
         room_.take(at, e.job.need);
+        (m.spot ? free_spot_ : free_ordinary_) -= e.job.need.cpus;
         used_[e.job.team] += e.job.need;
         out_.starts.push_back({e.job.id, task, {number, m.id, m.session}});
         started_.insert({e.job.id, task});
@@ -286,7 +339,7 @@
         return m.view != nullptr && m.view->task(e.job.id, task) != nullptr;
     }
 
-    void place_tasks(const JobEntry& e, std::size_t most = SIZE_MAX) {
+    void place_tasks(const JobEntry& e, bool first_only = false) {
         std::optional<double> wait_s;
         for (const auto& o : *in_.objectives) {
             if (o.kind == "wait" && o.job_class == e.job.job_class) wait_s = o.within_s;
@@ -315,7 +368,7 @@
             return e.job.need.fits_in(m.free) && zones.allows(e.job, m.zone);
         };
         for (const std::uint32_t task : unstarted_tasks(e, in_.most_starts)) {
-            if (most == 0 || full() || !within_limit(e.job)) return;
+            if (full() || !within_limit(e.job)) return;
             const TaskRef ref{e.job.id, task};
             if (started_.contains(ref)) continue;  // as the first task of a job that had to begin
             // Its own reservation is room for it.
@@ -340,6 +393,8 @@
                 if (preempt(e, zones, task)) continue;
                 return;  // the job's other tasks have the same shape
             }
+            // The first task of an overdue job waits for nobody.
+            if (held == out_.reservations.end() && !first_only && !leaves_owed(e.job, *at)) return;
             if (held != out_.reservations.end()) {
                 out_.reservations.erase(held);
             } else if (wait_s && fetch_s(e.job, room_.machines()[*at]) > *wait_s &&
@@ -351,7 +406,7 @@
             const std::uint64_t last = c == e.chunks.end() ? 0 : c->second.last_attempt;
             zones.add(room_.machines()[*at].zone);
             start(e, task, last + 1, *at);
-            --most;
+            if (first_only) return;
         }
     }
 
@@ -560,6 +615,10 @@
     std::map<std::string, Amount> used_;
     std::unordered_set<std::string> guaranteed_;
     bool guarantees_known_ = false;
+    std::map<std::string, Owed> owed_;  // by team
+    bool owed_known_ = false;
+    double free_spot_ = 0;  // CPUs that this pass has not given away yet
+    double free_ordinary_ = 0;
     Micros patience_{};
     std::set<TaskRef> started_;
     std::set<std::pair<const JobEntry*, std::uint32_t>> records_;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -107,6 +107,40 @@
     EXPECT_EQ(core::queue_order(l, {"x"}, objectives, end).front()->job.id, "req-1");
 }
 
+// Each owner filled the room that was set free with its own queue, beyond its teams' guarantees, and the
+// owner of a team that was owed it stopped that work again.
+TEST(Placement, WorkBeyondTheGuaranteeLeavesRoomThatAnotherTeamIsOwed) {
+    Cluster c;
+    c.teams["x"] = {"x", 4, 40, 0, 0};
+    c.teams["y"] = {"y", 4, 40, 0, 0};
+    c.picture.apply(test::report("n-1", "big", "a"), c.now, c.now);
+    auto own = test::job("req-1", "x", 20, 1);  // more than the guarantee, so not within it
+    own.accepted = c.now;
+    c.ledger.put_job(own, 1);
+    auto in = input(c);
+    in.own_teams = {"x"};
+    in.most_starts = 100;
+    const auto starts = [&] {
+        core::Room room = c.room();
+        return core::place(in, room).starts.size();
+    };
+    EXPECT_EQ(starts(), 16U);
+    auto owed = test::job("req-2", "y", 4, 1);
+    owed.accepted = c.now;
+    c.ledger.put_job(owed, 2);
+    EXPECT_EQ(starts(), 12U);
+    // What has waited for long waits for something else than room.
+    in.wall = c.now + Micros{61'000'000};
+    EXPECT_EQ(starts(), 16U);
+    // With all of it owed, an overdue job begins all the same, with one task.
+    c.teams["y"].cpus = 40;
+    in.wall = c.now + Micros{91'000'000};
+    auto more = test::job("req-3", "y", 20, 1);
+    more.accepted = in.wall;
+    c.ledger.put_job(more, 3);
+    EXPECT_EQ(starts(), 1U);
+}
+
 // Work that has missed all its wishes moved behind every newcomer, for as long as newcomers came.
 TEST(Placement, WhatIsLateByAllItsWishesIsNotPassedForEver) {
     core::Ledger l;
