A node that hears neither store nor peers is not healthy; silent machines have no stray tasks

A node that had lost the store while links between nodes were refused stayed healthy for the load balancer, which sent it users that it could only refuse. The same holds for a node that has lost all but its workers. Change: /healthz says 503 when the store is out of reach and no peer is heard. With peers heard that are in the same trouble it stays 200, as before.

The log of "loss" warned of stray tasks: the last report of a machine that had been cut off listed what its lease had ended since. Only what a machine has told of late counts now.

Tests: ANodeWithNothingButItsWorkers... asks for its health too, and fails without the change.

--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -523,6 +523,8 @@
     std::map<std::tuple<std::string, std::string, std::uint32_t, std::uint64_t>, std::uint64_t> seen;
     for (const auto& [id, m] : n_.picture.machines()) {
         if (m.last.token < n_.epoch.number) continue;
+        // A silent machine's last report may list what its lease has ended since.
+        const bool heard = now - m.changed < n_.doubt_after();
         for (const auto& t : m.last.tasks) {
             const core::JobEntry* e = n_.ledger.find(t.job);
             if (e != nullptr ? !n_.owns(e->job.team) : !n_.leads()) continue;
@@ -539,7 +541,7 @@
                     workers_.order(id, m.last.session,
                                    {core::OrderKind::forget, t.job, t.task, t.attempt, 0});
                 }
-            } else if (before != strays_.end()) {
+            } else if (before != strays_.end() && heard) {
                 spdlog::warn("event=stray_task job={} task={} attempt={} machine={}", t.job, t.task,
                              t.attempt, id);
                 workers_.order(id, m.last.session, {core::OrderKind::stop, t.job, t.task, t.attempt, 0});
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -226,9 +226,15 @@
     if (!n_.synced || !n_.catalog) return plain(503);
     if (!n_.state.reachable(now)) {
         // With every node in the same trouble, leaving the load balancer's list only makes the return slower.
+        // A node that hears none of the others either is more likely the only one in trouble: its users were
+        // sent to it for as long as it lasted.
+        bool alone = !n_.peers.empty();
         for (const auto& [label, p] : n_.peers) {
-            if (n_.peer_fresh(label, now) && p.beat.state_ok) return plain(503);
+            if (!n_.peer_fresh(label, now)) continue;
+            alone = false;
+            if (p.beat.state_ok) return plain(503);
         }
+        if (alone) return plain(503);
     }
     return plain(200);
 }
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -609,8 +609,11 @@
     site.play([](Site& s) -> Task<void> {
         // They report once, with an address at which nobody answers.
         const io::Address nobody = test::local(test::free_port());
-        io::HttpServer dead{s.loop, nobody, {}, [&s](io::HttpRequest) -> Task<io::HttpResponse> {
-                                while (true) co_await s.loop.sleep(Micros{1'000'000});
+        std::size_t asked = 0;
+        io::HttpServer dead{s.loop, nobody, {}, [&](io::HttpRequest) -> Task<io::HttpResponse> {
+                                ++asked;
+                                co_await s.loop.sleep(Micros{3'000'000});  // beyond every patience
+                                co_return test::reply(503);
                             }};
         io::Scope scope;
         scope.spawn(dead.serve());
@@ -638,6 +641,8 @@
             auto step = s.until_status("req-1", "done");
             co_await std::move(step);
         }
+        // No dead machine is asked twice before the live ones were asked once.
+        EXPECT_LE(asked, 1300U);
     });
 }
 
@@ -799,6 +804,10 @@
         // Longer than a lease: whoever kept its worker had to hear from an entitled node.
         co_await s.loop.sleep(Micros{8'000'000});
         EXPECT_EQ(s.world.running, homes);
+        // Nor may it be sent users, whom it can only refuse.
+        auto probe = s.call(0, "GET", "/healthz", nullptr);
+        const auto health = co_await std::move(probe);
+        EXPECT_EQ(health.first, 503);
         for (const auto& [id, n] : sessions) EXPECT_EQ(s.cloud.workers.at(id)->session(), n) << id;
         {
             auto step = s.submit("req-4", "x", "sweep", 2);
