The first task of an overdue job is stopped last

A job that had to begin got its one task, and the next job of higher priority stopped it again, so that nothing of it counted as begun. Change: such a task is the last choice for a stop; it may be stopped where nothing else can be.

Test: TheFirstTaskOfAnOverdueJobIsStoppedLast; it fails without the change.

--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -535,10 +535,14 @@
             }
             // Least lost first: tasks without their image, then those that save as they go.
             const int state = v.state == TaskState::fetching ? 0 : j.checkpoint_s > 0 ? 1 : 2;
+            // The first task of a job that had to begin comes last of all: stopped, the job has not begun,
+            // and on a full fleet that went on for minutes.
+            const bool begun_late =
+                h.entry->done == 0 && h.entry->open == 1 && in_.wall - j.accepted >= kBeginWithin;
             out.push_back({h.entry,
                            ref.task,
                            h.number,
-                           {static_cast<int>(j.priority), state, j.need.cpus},
+                           {static_cast<int>(j.priority) + (begun_late ? 8 : 0), state, j.need.cpus},
                            own,
                            &used_.at(j.team),
                            &in_.teams->at(j.team)});
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -141,6 +141,42 @@
     EXPECT_EQ(starts(), 1U);
 }
 
+// On a full fleet the first task of a job that had to begin was stopped as soon as anything else came.
+TEST(Placement, TheFirstTaskOfAnOverdueJobIsStoppedLast) {
+    Cluster c;
+    c.teams["x"] = {"x", 40, 40, 0, 0};
+    core::Stamp stamp = 0;
+    const auto run = [&](const char* id, const char* machine, Micros accepted) {
+        auto j = test::job(id, "x", 3, 4);
+        j.priority = core::Priority::best_effort;
+        j.accepted = accepted;
+        c.ledger.put_job(j, ++stamp);
+        core::Chunk chunk;
+        chunk.stamp = ++stamp;
+        chunk.open[0] = {1, machine, 1};
+        chunk.last_attempt = 1;
+        c.ledger.put_chunk(id, 0, chunk);
+        auto r = test::report(machine, "small", "a");
+        core::TaskReport t;
+        t.job = id;
+        t.attempt = 1;
+        t.state = core::TaskState::running;
+        r.tasks.push_back(t);
+        c.picture.apply(r, c.now, c.now);
+    };
+    run("req-1", "n-1", c.now - Micros{95'000'000});
+    run("req-2", "n-2", c.now);
+    auto service = test::job("req-3", "x", 2, 4);
+    service.kind = core::JobKind::service;
+    service.priority = core::Priority::production;
+    c.ledger.put_job(service, ++stamp);
+    core::Room room = c.room();
+    const auto out = core::place(input(c), room);
+    ASSERT_EQ(out.stops.size(), 2U);  // it may be stopped, if there is nothing else
+    EXPECT_EQ(out.stops[0].job, "req-2");
+    EXPECT_EQ(out.stops[1].job, "req-1");
+}
+
 // Work that has missed all its wishes moved behind every newcomer, for as long as newcomers came.
 TEST(Placement, WhatIsLateByAllItsWishesIsNotPassedForEver) {
     core::Ledger l;
