One piece for what stood twice: shape of a job, room on a machine, waiting too long

- the shape that placing and renting search by is one type beside may_run_on (it stood in both)
- has_room_for asks in one place what placing (twice), the drain trial and renting each asked for themselves
- Pass::best asks listed_on in place of its own copy of it
- must_begin and the last choice for a stop share waited_too_long
- tests: one loop for both queues of late messages in the epoch model; one branch for a refused commit in the stand-in

--- a/src/core/drain_planner.cpp
+++ b/src/core/drain_planner.cpp
@@ -90,8 +90,7 @@
     }
     bool fits(const JobEntry& e, std::size_t at, const std::string& from, const std::set<std::string>& skip) {
         const RoomMachine& m = room_.machines()[at];
-        return m.usable && !m.draining && e.job.need.fits_in(m.free) && may_run_on(e.job, m) &&
-               m.id != from && !skip.contains(m.id) &&
+        return has_room_for(e.job, m) && m.id != from && !skip.contains(m.id) &&
                ((!e.job.spread && !e.job.one_zone) || zone_use(e).allows(e.job, m.zone));
     }
     bool take(const JobEntry& e, const TaskRef& ref, std::size_t at) {
--- a/src/core/fleet_planner.cpp
+++ b/src/core/fleet_planner.cpp
@@ -57,8 +57,7 @@
     }
 
     bool open_for(const JobEntry& e, const ZoneUse& zones, const RoomMachine& m) const {
-        return m.usable && !m.draining && e.job.need.fits_in(m.free) && may_run_on(e.job, m) &&
-               zones.allows(e.job, m.zone);
+        return has_room_for(e.job, m) && zones.allows(e.job, m.zone);
     }
 
     // As many of n tasks as this machine takes.
@@ -77,8 +76,7 @@
     std::uint32_t some(const JobEntry& e, ZoneUse& zones, std::uint32_t n) {
         std::uint32_t got = 0;
         // Room only shrinks: a job of the same shape goes on where the last one stopped.
-        std::size_t& from = searched_[{e.job.need.cpus, e.job.need.gpus, e.job.need.memory_gb, e.job.spot,
-                                       e.job.zone, e.job.types}];
+        std::size_t& from = searched_[shape(e.job)];
         const bool zoned = e.job.spread || e.job.one_zone;
         std::size_t i = from;
         for (; i < room_.machines().size() && got < n; ++i) {
@@ -195,10 +193,7 @@
     std::map<Pool, std::uint32_t> rent_;
     std::map<std::string, Amount> used_;
     std::map<std::string, std::size_t> in_zone_;
-    std::map<std::tuple<double, double, double, bool, std::optional<std::string>,
-                        std::optional<std::vector<std::string>>>,
-             std::size_t>
-        searched_;
+    std::map<Shape, std::size_t> searched_;
     double owed_ = 0;
     std::size_t total_ = 0;
 };
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -54,9 +54,13 @@
     return due;
 }
 
-bool must_begin(const JobEntry& e, Micros wall) {
-    return e.done == 0 && e.open == 0 && wall - e.job.accepted >= kBeginWithin;
+namespace {
+bool waited_too_long(const JobEntry& e, Micros wall) {
+    return e.done == 0 && wall - e.job.accepted >= kBeginWithin;
 }
+}  // namespace
+
+bool must_begin(const JobEntry& e, Micros wall) { return e.open == 0 && waited_too_long(e, wall); }
 
 std::vector<const JobEntry*> queue_order(const Ledger& l, const std::set<std::string>& teams,
                                          const std::vector<Objective>& objectives, Micros wall) {
@@ -301,12 +305,7 @@
         Score best_score;
         for (std::size_t i = 0; i < room_.machines().size(); ++i) {
             const RoomMachine& m = room_.machines()[i];
-            if (!m.usable || m.draining || !e.job.need.fits_in(m.free) || !may_run_on(e.job, m) ||
-                !zones.allows(e.job, m.zone)) {
-                continue;
-            }
-            // An attempt of this task that is still listed there would make the worker refuse the start.
-            if (m.view != nullptr && m.view->task(e.job.id, task) != nullptr) continue;
+            if (!has_room_for(e.job, m) || !zones.allows(e.job, m.zone) || listed_on(i, e, task)) continue;
             const Score s = score(e.job, i);
             if (!best || s < best_score) {
                 best = i;
@@ -326,13 +325,6 @@
         records_.insert({&e, task / kChunkTasks});
     }
 
-    // What decides where a job's tasks may go, the zones of its other tasks apart.
-    using Shape = std::tuple<double, double, double, bool, std::optional<std::string>,
-                             std::optional<std::vector<std::string>>>;
-    static Shape shape(const Job& j) {
-        return {j.need.cpus, j.need.gpus, j.need.memory_gb, j.spot, j.zone, j.types};
-    }
-
     bool listed_on(std::size_t at, const JobEntry& e, std::uint32_t task) const {
         // An attempt of this task that is still listed there would make the worker refuse the start.
         const RoomMachine& m = room_.machines()[at];
@@ -355,9 +347,7 @@
         if (!hopeless) {
             for (std::size_t i = 0; i < room_.machines().size(); ++i) {
                 const RoomMachine& m = room_.machines()[i];
-                if (m.usable && !m.draining && e.job.need.fits_in(m.free) && may_run_on(e.job, m)) {
-                    order.emplace_back(score(e.job, i), i);
-                }
+                if (has_room_for(e.job, m)) order.emplace_back(score(e.job, i), i);
             }
             std::sort(order.begin(), order.end());
             if (order.empty()) full_for_.insert(form);
@@ -537,8 +527,7 @@
             const int state = v.state == TaskState::fetching ? 0 : j.checkpoint_s > 0 ? 1 : 2;
             // The first task of a job that had to begin comes last of all: stopped, the job has not begun,
             // and on a full fleet that went on for minutes.
-            const bool begun_late =
-                h.entry->done == 0 && h.entry->open == 1 && in_.wall - j.accepted >= kBeginWithin;
+            const bool begun_late = h.entry->open == 1 && waited_too_long(*h.entry, in_.wall);
             out.push_back({h.entry,
                            ref.task,
                            h.number,
--- a/src/core/room.hpp
+++ b/src/core/room.hpp
@@ -2,8 +2,10 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "core/ledger.hpp"
@@ -103,5 +105,16 @@
 
 // Type, zone and kind of machine; room and the job's other tasks are separate questions.
 bool may_run_on(const Job& j, const RoomMachine& m);
+// Takes one more task of it now, its zone rules apart.
+inline bool has_room_for(const Job& j, const RoomMachine& m) {
+    return m.usable && !m.draining && j.need.fits_in(m.free) && may_run_on(j, m);
+}
+
+// What decides where a job's tasks may go, the zones of its other tasks apart.
+using Shape = std::tuple<double, double, double, bool, std::optional<std::string>,
+                         std::optional<std::vector<std::string>>>;
+inline Shape shape(const Job& j) {
+    return {j.need.cpus, j.need.gpus, j.need.memory_gb, j.spot, j.zone, j.types};
+}
 
 }  // namespace hatchwind::core
--- a/tests/epoch_test.cpp
+++ b/tests/epoch_test.cpp
@@ -185,22 +185,18 @@
     }
     void deliver() {
         if (down_) return;
-        for (auto it = late_puts_.begin(); it != late_puts_.end();) {
-            if (it->at > now_) {
-                ++it;
-                continue;
+        const auto arrive = [&](auto& queue) {
+            for (auto it = queue.begin(); it != queue.end();) {
+                if (it->at > now_) {
+                    ++it;
+                    continue;
+                }
+                apply(*it);
+                it = queue.erase(it);
             }
-            apply(*it);
-            it = late_puts_.erase(it);
-        }
-        for (auto it = late_.begin(); it != late_.end();) {
-            if (it->at > now_) {
-                ++it;
-                continue;
-            }
-            apply(*it);
-            it = late_.erase(it);
-        }
+        };
+        arrive(late_puts_);
+        arrive(late_);
     }
     void act(int i) {
         Life& l = lives_[i];
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -226,8 +226,10 @@
             if (w.contains("tenure") && !grants_.contains(w["tenure"].get<std::uint64_t>()))
                 return reply(400, {{"error", "no such lease"}});
         }
-        if (!failed.empty()) ++conflicts;
-        if (!failed.empty()) return reply(409, {{"failed", failed}, {"ledger", revision}});
+        if (!failed.empty()) {
+            ++conflicts;
+            return reply(409, {{"failed", failed}, {"ledger", revision}});
+        }
         ++revision;
         for (const auto& w : t["writes"]) {
             if (w.contains("write")) {
