--- a/src/core/drain_planner.cpp
+++ b/src/core/drain_planner.cpp
@@ -19,14 +19,15 @@
 
 class Trial {
   public:
-    Trial(const DrainInput& in, Room& room, DrainState& state) : in_(in), room_(room), state_(state) {}
+    Trial(const DrainInput& in, FreeCapacity& room, DrainState& state)
+        : in_(in), room_(room), state_(state) {}
 
     // Finds a home for one task. Remembered destinations first, then from the list's far end.
     bool fit(const JobEntry& e, const TaskRef& ref, const std::string& from,
              const std::set<std::string>& skip) {
         if (const auto hint = state_.destinations.find(ref); hint != state_.destinations.end()) {
             const auto at = room_.at(hint->second);
-            if (at != Room::npos && fits(e, at, from, skip)) return take(e, ref, at);
+            if (at != FreeCapacity::npos && fits(e, at, from, skip)) return take(e, ref, at);
         }
         for (std::size_t i = room_.machines().size(); i-- > 0;) {
             if (fits(e, i, from, skip)) return take(e, ref, i);
@@ -89,12 +90,12 @@
         return it->second;
     }
     bool fits(const JobEntry& e, std::size_t at, const std::string& from, const std::set<std::string>& skip) {
-        const RoomMachine& m = room_.machines()[at];
+        const MachineCapacity& m = room_.machines()[at];
         return has_room_for(e.job, m) && m.id != from && !skip.contains(m.id) &&
                ((!e.job.spread && !e.job.one_zone) || zone_use(e).allows(e.job, m.zone));
     }
     bool take(const JobEntry& e, const TaskRef& ref, std::size_t at) {
-        const RoomMachine& m = room_.machines()[at];
+        const MachineCapacity& m = room_.machines()[at];
         room_.take(at, e.job.need);
         if (e.job.spread || e.job.one_zone) {
             zone_use(e).add(m.zone);
@@ -108,7 +109,7 @@
     }
 
     const DrainInput& in_;
-    Room& room_;
+    FreeCapacity& room_;
     DrainState& state_;
     std::unordered_map<const JobEntry*, ZoneUse> zones_;
     std::unordered_map<const JobEntry*, int> quota_;
@@ -120,7 +121,7 @@
 
 }  // namespace
 
-DrainResult plan_drains(const DrainSettings& s, const DrainInput& in, Room room, DrainState& state) {
+DrainResult plan_drains(const DrainSettings& s, const DrainInput& in, FreeCapacity room, DrainState& state) {
     DrainResult out;
     std::erase_if(state.recent_stops, [&](const auto& r) { return in.now - r.second >= s.recent_stop; });
     Trial trial{in, room, state};
@@ -133,7 +134,7 @@
 
     // What is being drained, and what was stopped and has no new place yet, must fit first.
     for (const auto& id : in.draining) {
-        const RoomMachine* from = room.find(id);
+        const MachineCapacity* from = room.find(id);
         for (const auto& [ref, held] : in.ledger->on_machine(id)) {
             const JobEntry* e = held.entry;
             if (from != nullptr) trial.leave(*e, from->zone);
@@ -167,7 +168,7 @@
     for (const auto& [use, price, id] : eligible) {
         if (in.out_of_time()) break;
         if (standing - candidates.size() <= s.fleet_minimum) break;
-        const RoomMachine* from = room.find(id);
+        const MachineCapacity* from = room.find(id);
         const auto mark = trial.mark();
         // A machine that takes tasks in this very trial is needed.
         bool ok = !trial.takes_tasks(id);
--- a/src/core/drain_planner.hpp
+++ b/src/core/drain_planner.hpp
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "core/free_capacity.hpp"
 #include "core/ledger.hpp"
-#include "core/room.hpp"
 
 namespace hatchwind::core {
 
@@ -43,6 +43,6 @@
     bool held = false;               // stopped tasks would not all fit: no candidates in this round
 };
 
-DrainResult plan_drains(const DrainSettings& s, const DrainInput& in, Room room, DrainState& state);
+DrainResult plan_drains(const DrainSettings& s, const DrainInput& in, FreeCapacity room, DrainState& state);
 
 }  // namespace hatchwind::core
--- a/src/core/epoch.cpp
+++ b/src/core/epoch.cpp
@@ -92,21 +92,21 @@
     return plan;
 }
 
-Micros Mandate::shortened(Micros from, Micros life) {
+Micros NodeLease::shortened(Micros from, Micros life) {
     // Clocks drift apart by up to 0.05%; 0.2% and a margin for timers that fire late.
     return from + life - life / 500 - Micros{50'000};
 }
 
-void Mandate::renewed(Micros sent, Micros life) {
+void NodeLease::renewed(Micros sent, Micros life) {
     until_ = std::max(until_, shortened(sent, life));
     promises_.clear();
 }
 
-void Mandate::promise(const std::string& from, Micros asked, Micros life, Micros now) {
+void NodeLease::promise(const std::string& from, Micros asked, Micros life, Micros now) {
     if (!alive(now)) return;
     auto& p = promises_[from];
     p = std::max(p, shortened(asked, life));
-    // Fold a full set into the mandate, so that it goes on from there.
+    // Fold a full set into the node lease, so that it goes on from there.
     Micros all = Micros::max();
     for (const auto& o : others_) {
         const auto it = promises_.find(o);
@@ -116,6 +116,6 @@
     if (!others_.empty()) until_ = std::max(until_, all);
 }
 
-Micros Mandate::until() const { return until_; }
+Micros NodeLease::until() const { return until_; }
 
 }  // namespace hatchwind::core
--- a/src/core/epoch.hpp
+++ b/src/core/epoch.hpp
@@ -1,4 +1,4 @@
-// Epochs and mandates: who leads, who owns which team, and until when a node may act.
+// Epochs and node leases: who leads, who owns which team, and until when a node may act.
 #pragma once
 
 #include <map>
@@ -69,9 +69,9 @@
                                                  const std::map<std::string, std::string>& before);
 
 // Until when this node may act. All times are this node's steady clock.
-class Mandate {
+class NodeLease {
   public:
-    explicit Mandate(std::vector<std::string> others) : others_(std::move(others)) {}
+    explicit NodeLease(std::vector<std::string> others) : others_(std::move(others)) {}
 
     // A renewal that was sent then succeeded: the store keeps the grant for its life from a later moment.
     void renewed(Micros sent, Micros life);
--- a/src/core/fleet_planner.cpp
+++ b/src/core/fleet_planner.cpp
@@ -15,11 +15,12 @@
 
 class Planner {
   public:
-    Planner(const FleetSettings& s, const FleetInput& in, Room& room) : s_(s), in_(in), room_(room) {
+    Planner(const FleetSettings& s, const FleetInput& in, FreeCapacity& room)
+        : settings_(s), in_(in), room_(room) {
         for (const auto& b : in.booting) {
             const auto t = in.catalog->find(b.type);
             if (t == in.catalog->end()) continue;
-            RoomMachine m;
+            MachineCapacity m;
             m.id = b.machine;
             m.type = &t->second;
             m.zone = b.zone;
@@ -56,7 +57,7 @@
         return u.cpus + j.need.cpus <= t.cpus_max + kSlack && u.gpus + j.need.gpus <= t.gpus_max + kSlack;
     }
 
-    bool open_for(const JobEntry& e, const ZoneUse& zones, const RoomMachine& m) const {
+    bool open_for(const JobEntry& e, const ZoneUse& zones, const MachineCapacity& m) const {
         return has_room_for(e.job, m) && zones.allows(e.job, m.zone);
     }
 
@@ -72,10 +73,10 @@
         return taken;
     }
 
-    // Room for n more tasks: what there is, then machines to rent. Returns how many found some.
+    // FreeCapacity for n more tasks: what there is, then machines to rent. Returns how many found some.
     std::uint32_t some(const JobEntry& e, ZoneUse& zones, std::uint32_t n) {
         std::uint32_t got = 0;
-        // Room only shrinks: a job of the same shape goes on where the last one stopped.
+        // FreeCapacity only shrinks: a job of the same shape goes on where the last one stopped.
         std::size_t& from = searched_[shape(e.job)];
         const bool zoned = e.job.spread || e.job.one_zone;
         std::size_t i = from;
@@ -84,12 +85,12 @@
             if (!within_limit(e.job)) return got;
         }
         if (!zoned) from = i == 0 ? 0 : i - 1;
-        while (got < n && within_limit(e.job) && total_ < s_.most_per_round) {
+        while (got < n && within_limit(e.job) && total_ < settings_.most_per_round) {
             const auto pool = choose(e, zones, (n - got) * e.job.need.cpus);
             if (!pool) break;
             ++rent_[*pool];
             ++total_;
-            RoomMachine m;
+            MachineCapacity m;
             m.id = "planned-" + std::to_string(total_);
             m.type = &in_.catalog->at(pool->type);
             m.zone = pool->zone;
@@ -132,7 +133,7 @@
     }
 
     bool has_home(const Job& j) const {
-        return std::any_of(room_.machines().begin(), room_.machines().end(), [&](const RoomMachine& m) {
+        return std::any_of(room_.machines().begin(), room_.machines().end(), [&](const MachineCapacity& m) {
             return m.usable && !m.draining && may_run_on(j, m) && j.need.fits_in(m.type->size);
         });
     }
@@ -151,13 +152,13 @@
     double time_share(const Job& j, double run) const {
         const double left =
             static_cast<double>((due_time(j, *in_.objectives, in_.wall) - in_.wall).count()) / 1e6 - run;
-        return std::min(1.0, run / std::max(left * s_.slack_share, s_.least_queue_s));
+        return std::min(1.0, run / std::max(left * settings_.slack_share, settings_.least_queue_s));
     }
 
     void lend_running() {
         std::unordered_map<const JobEntry*, double> shares;
         for (std::size_t i = 0; i < room_.machines().size(); ++i) {
-            const RoomMachine& m = room_.machines()[i];
+            const MachineCapacity& m = room_.machines()[i];
             if (m.held == nullptr || !m.usable || m.draining) continue;
             for (const auto& [ref, held] : *m.held) {
                 const JobEntry* e = held.entry;
@@ -187,9 +188,9 @@
         owed_ = got < whole ? std::min(owed_ - got, 1.0) : owed_ - got;
     }
 
-    const FleetSettings& s_;
+    const FleetSettings& settings_;
     const FleetInput& in_;
-    Room& room_;
+    FreeCapacity& room_;
     std::map<Pool, std::uint32_t> rent_;
     std::map<std::string, Amount> used_;
     std::map<std::string, std::size_t> in_zone_;
@@ -200,7 +201,7 @@
 
 }  // namespace
 
-std::map<Pool, std::uint32_t> plan_rentals(const FleetSettings& s, const FleetInput& in, Room room) {
+std::map<Pool, std::uint32_t> plan_rentals(const FleetSettings& s, const FleetInput& in, FreeCapacity room) {
     return Planner{s, in, room}.run();
 }
 
--- a/src/core/fleet_planner.hpp
+++ b/src/core/fleet_planner.hpp
@@ -7,8 +7,8 @@
 #include <tuple>
 #include <vector>
 
+#include "core/free_capacity.hpp"
 #include "core/placement.hpp"
-#include "core/room.hpp"
 
 namespace hatchwind::core {
 
@@ -39,6 +39,6 @@
 };
 
 // How many machines to rent from which pool.
-std::map<Pool, std::uint32_t> plan_rentals(const FleetSettings& s, const FleetInput& in, Room room);
+std::map<Pool, std::uint32_t> plan_rentals(const FleetSettings& s, const FleetInput& in, FreeCapacity room);
 
 }  // namespace hatchwind::core
--- a/src/core/room.cpp
+++ b/src/core/free_capacity.cpp
@@ -1,4 +1,4 @@
-#include "core/room.hpp"
+#include "core/free_capacity.hpp"
 
 #include <algorithm>
 
@@ -16,15 +16,15 @@
 }
 }  // namespace
 
-Room Room::build(const Picture& p, const Ledger& l, const Catalog& c, const Availability& a,
-                 RoomMemory* memory) {
-    Room room;
+FreeCapacity FreeCapacity::build(const Picture& p, const Ledger& l, const Catalog& c, const Availability& a,
+                                 FreeCapacityCache* memory) {
+    FreeCapacity room;
     if (memory != nullptr) room.machines_ = std::move(memory->spare_machines);
     room.machines_.clear();
     room.machines_.reserve(p.machines().size());
     auto recorded = l.by_machine().begin();
-    std::vector<RoomMemory::Use> uses;
-    std::vector<RoomMemory::Use>::const_iterator known;
+    std::vector<FreeCapacityCache::Use> uses;
+    std::vector<FreeCapacityCache::Use>::const_iterator known;
     if (memory != nullptr) {
         uses = std::move(memory->spare_uses);
         uses.clear();
@@ -34,7 +34,7 @@
     for (const auto& [id, view] : p.machines()) {
         const auto type = c.find(view.last.type);
         if (type == c.end()) continue;
-        RoomMachine m;
+        MachineCapacity m;
         m.id = id;
         m.type = &type->second;
         m.view = &view;
@@ -46,7 +46,7 @@
         while (recorded != l.by_machine().end() && recorded->first < id) ++recorded;
         if (recorded != l.by_machine().end() && recorded->first == id) {
             m.held = &recorded->second.tasks;
-            const RoomMemory::Use* same = nullptr;
+            const FreeCapacityCache::Use* same = nullptr;
             if (memory != nullptr) {
                 while (known != memory->uses.end() && known->machine < id) ++known;
                 if (known != memory->uses.end() && known->machine == id &&
@@ -72,29 +72,29 @@
         if (const auto at = room.at(id); at != npos) change(room.machines_[at]);
     };
     for (const auto& id : a.draining) {
-        mark(id, [](RoomMachine& m) {
+        mark(id, [](MachineCapacity& m) {
             m.draining = true;
             m.usable = false;
         });
     }
-    for (const auto& id : a.candidates) mark(id, [](RoomMachine& m) { m.candidate = true; });
+    for (const auto& id : a.candidates) mark(id, [](MachineCapacity& m) { m.candidate = true; });
     for (const auto& [id, until] : a.banned_until) {
-        if (until > a.now) mark(id, [](RoomMachine& m) { m.usable = false; });
+        if (until > a.now) mark(id, [](MachineCapacity& m) { m.usable = false; });
     }
     return room;
 }
 
-void Room::recycle(RoomMemory& memory) {
+void FreeCapacity::recycle(FreeCapacityCache& memory) {
     memory.spare_machines = std::move(machines_);
     machines_.clear();
     sorted_ = 0;
     trail_.clear();
 }
 
-std::size_t Room::at(const std::string& id) const {
+std::size_t FreeCapacity::at(const std::string& id) const {
     const auto end = machines_.begin() + static_cast<std::ptrdiff_t>(sorted_);
     const auto it = std::lower_bound(machines_.begin(), end, id,
-                                     [](const RoomMachine& m, const std::string& i) { return m.id < i; });
+                                     [](const MachineCapacity& m, const std::string& i) { return m.id < i; });
     if (it != end && it->id == id) return static_cast<std::size_t>(it - machines_.begin());
     for (std::size_t i = sorted_; i < machines_.size(); ++i) {
         if (machines_[i].id == id) return i;
@@ -102,37 +102,37 @@
     return npos;
 }
 
-const RoomMachine* Room::find(const std::string& id) const {
+const MachineCapacity* FreeCapacity::find(const std::string& id) const {
     const auto i = at(id);
     return i == npos ? nullptr : &machines_[i];
 }
 
-std::size_t Room::add(RoomMachine m) {
+std::size_t FreeCapacity::add(MachineCapacity m) {
     machines_.push_back(std::move(m));
     return machines_.size() - 1;
 }
 
-void Room::take(std::size_t at, const Amount& need) {
+void FreeCapacity::take(std::size_t at, const Amount& need) {
     machines_[at].free -= need;
     trail_.emplace_back(at, need);
 }
 
-void Room::give(std::size_t at, const Amount& need) { take(at, need * -1.0); }
+void FreeCapacity::give(std::size_t at, const Amount& need) { take(at, need * -1.0); }
 
-void Room::revert(std::size_t to) {
+void FreeCapacity::revert(std::size_t to) {
     while (trail_.size() > to) {
         machines_[trail_.back().first].free += trail_.back().second;
         trail_.pop_back();
     }
 }
 
-ZoneUse ZoneUse::of(const JobEntry& e, const Room& room) {
+ZoneUse ZoneUse::of(const JobEntry& e, const FreeCapacity& room) {
     ZoneUse z;
     // Without a rule on zones nobody asks.
     if (!e.job.spread && !e.job.one_zone) return z;
     for (const auto& [i, c] : e.chunks) {
         for (const auto& [task, a] : c.open) {
-            const RoomMachine* m = room.find(a.machine);
+            const MachineCapacity* m = room.find(a.machine);
             ++z.total;
             if (m == nullptr) {
                 ++z.unknown;
@@ -152,7 +152,7 @@
     return !j.spread || here + unknown < j.zone_cap();
 }
 
-bool may_run_on(const Job& j, const RoomMachine& m) {
+bool may_run_on(const Job& j, const MachineCapacity& m) {
     if (m.spot && !j.spot) return false;
     if (j.zone && *j.zone != m.zone) return false;
     return j.allows_type(m.type->name);
--- a/src/core/room.hpp
+++ b/src/core/free_capacity.hpp
@@ -1,4 +1,5 @@
-// Room on the machines as this node sees it: the copy in which placements are tried, kept or taken back.
+// FreeCapacity on the machines as this node sees it: the copy in which placements are tried, kept or taken
+// back.
 #pragma once
 
 #include <functional>
@@ -14,7 +15,7 @@
 
 namespace hatchwind::core {
 
-struct RoomMachine {
+struct MachineCapacity {
     std::string id;
     const MachineType* type = nullptr;
     const MachineView* view = nullptr;  // null for a machine that is still booting or only planned
@@ -43,7 +44,7 @@
 
 // What recorded attempts use on each machine, as the last room was built. A pass builds its room anew, and
 // most machines are as they were in the one before.
-struct RoomMemory {
+struct FreeCapacityCache {
     struct Use {
         std::string machine;
         std::uint64_t session = 0;
@@ -54,23 +55,23 @@
     std::vector<Use> uses;  // in the machines' order
     // Memory for the next room: large blocks that come and go with every pass make the allocator tidy up.
     std::vector<Use> spare_uses;
-    std::vector<RoomMachine> spare_machines;
+    std::vector<MachineCapacity> spare_machines;
 };
 
-class Room {
+class FreeCapacity {
   public:
-    static Room build(const Picture& p, const Ledger& l, const Catalog& c, const Availability& a,
-                      RoomMemory* memory = nullptr);
+    static FreeCapacity build(const Picture& p, const Ledger& l, const Catalog& c, const Availability& a,
+                              FreeCapacityCache* memory = nullptr);
 
-    std::vector<RoomMachine>& machines() { return machines_; }
-    const std::vector<RoomMachine>& machines() const { return machines_; }
+    std::vector<MachineCapacity>& machines() { return machines_; }
+    const std::vector<MachineCapacity>& machines() const { return machines_; }
     static constexpr std::size_t npos = static_cast<std::size_t>(-1);
     std::size_t at(const std::string& id) const;  // npos when it is not there
-    const RoomMachine* find(const std::string& id) const;
-    std::size_t add(RoomMachine m);
+    const MachineCapacity* find(const std::string& id) const;
+    std::size_t add(MachineCapacity m);
 
     // Leaves its memory to the next one; the room is empty afterwards.
-    void recycle(RoomMemory& memory);
+    void recycle(FreeCapacityCache& memory);
 
     void take(std::size_t at, const Amount& need);
     void give(std::size_t at, const Amount& need);
@@ -79,7 +80,7 @@
     void revert(std::size_t to);
 
   private:
-    std::vector<RoomMachine> machines_;
+    std::vector<MachineCapacity> machines_;
     std::size_t sorted_ = 0;  // so many at the front are in order of their names
     std::vector<std::pair<std::size_t, Amount>> trail_;
 };
@@ -91,7 +92,7 @@
     std::uint32_t unknown = 0;
     std::uint32_t total = 0;
 
-    static ZoneUse of(const JobEntry& e, const Room& room);
+    static ZoneUse of(const JobEntry& e, const FreeCapacity& room);
     bool allows(const Job& j, const std::string& zone) const;
     void add(const std::string& zone) {
         ++by_zone[zone];
@@ -104,9 +105,9 @@
 };
 
 // Type, zone and kind of machine; room and the job's other tasks are separate questions.
-bool may_run_on(const Job& j, const RoomMachine& m);
+bool may_run_on(const Job& j, const MachineCapacity& m);
 // Takes one more task of it now, its zone rules apart.
-inline bool has_room_for(const Job& j, const RoomMachine& m) {
+inline bool has_room_for(const Job& j, const MachineCapacity& m) {
     return m.usable && !m.draining && j.need.fits_in(m.free) && may_run_on(j, m);
 }
 
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -76,8 +76,8 @@
     mine = std::move(chunk);
 }
 
-void Ledger::put_page(const PageKey& key, Stamp stamp, std::map<ChunkKey, Chunk> chunks) {
-    Page& page = pages_[key];
+void Ledger::put_page(const AttemptPageKey& key, Stamp stamp, std::map<ChunkKey, Chunk> chunks) {
+    AttemptPage& page = pages_[key];
     if (page.stamp >= stamp) return;
     for (const auto& [job, index] : page.chunks) {
         if (!chunks.contains({job, index})) erase_chunk(job, index, stamp);
@@ -92,7 +92,7 @@
     }
 }
 
-void Ledger::erase_page(const PageKey& key, Stamp at) {
+void Ledger::erase_page(const AttemptPageKey& key, Stamp at) {
     const auto it = pages_.find(key);
     if (it == pages_.end() || it->second.stamp >= at) return;
     for (const auto& [job, index] : it->second.chunks) erase_chunk(job, index, at);
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -36,11 +36,11 @@
 
 // One record of the store: chunks of many jobs of one team. The store counts writes, not what they say, so
 // what starts and ends at the same time is written together.
-struct Page {
+struct AttemptPage {
     Stamp stamp = 0;
     std::set<ChunkKey> chunks;  // some may be of jobs that are over
 };
-using PageKey = std::pair<std::string, std::uint32_t>;  // team, number from 1
+using AttemptPageKey = std::pair<std::string, std::uint32_t>;  // team, number from 1
 
 struct JobEntry {
     Job job;
@@ -81,9 +81,9 @@
     void put_job(Job job, Stamp stamp);
     void put_chunk(const std::string& job, std::uint32_t index, Chunk chunk);
     // A page as the store has it: what it does not have any more is gone.
-    void put_page(const PageKey& key, Stamp stamp, std::map<ChunkKey, Chunk> chunks);
-    void erase_page(const PageKey& key, Stamp at);
-    const std::map<PageKey, Page>& pages() const { return pages_; }
+    void put_page(const AttemptPageKey& key, Stamp stamp, std::map<ChunkKey, Chunk> chunks);
+    void erase_page(const AttemptPageKey& key, Stamp at);
+    const std::map<AttemptPageKey, AttemptPage>& pages() const { return pages_; }
     void erase_job(const std::string& job, Stamp at);
     void erase_chunk(const std::string& job, std::uint32_t index, Stamp at);
     void clear();
@@ -108,7 +108,7 @@
     std::map<std::string, MachineTasks> by_machine_;  // in the picture's order: passes walk both in step
     std::uint64_t changes_ = 0;
     std::map<ChunkKey, Chunk> orphans_;
-    std::map<PageKey, Page> pages_;
+    std::map<AttemptPageKey, AttemptPage> pages_;
 };
 
 // Tasks of a job that have no open attempt and are not done, lowest first, at most `most`.
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -91,7 +91,7 @@
 
 class Pass {
   public:
-    Pass(const PlacementInput& in, Room& room) : in_(in), room_(room) {
+    Pass(const PlacementInput& in, FreeCapacity& room) : in_(in), room_(room) {
         for (const auto& [ref, r] : in.reservations) {
             if (r.until <= in.now || r.waiting) continue;
             out_.reservations.emplace(ref, r);
@@ -169,7 +169,7 @@
         // Holds room where most of it is free: nobody else takes it, so it grows until the task fits.
         std::vector<std::size_t> order;
         for (std::size_t i = 0; i < room_.machines().size(); ++i) {
-            const RoomMachine& m = room_.machines()[i];
+            const MachineCapacity& m = room_.machines()[i];
             if (m.usable && !m.draining && may_run_on(e.job, m) && e.job.need.fits_in(m.type->size))
                 order.push_back(i);
         }
@@ -230,8 +230,8 @@
         return guaranteed_.contains(j.id);
     }
 
-    // Room that other teams wait for within their guarantees: CPUs on any machine, and the part of them for
-    // which only ordinary machines will do. Services take room by stops, and at once.
+    // FreeCapacity that other teams wait for within their guarantees: CPUs on any machine, and the part of
+    // them for which only ordinary machines will do. Services take room by stops, and at once.
     struct Owed {
         double any = 0;
         double ordinary = 0;
@@ -278,7 +278,7 @@
     }
 
     // Seconds until the image would be there.
-    double fetch_s(const Job& j, const RoomMachine& m) const {
+    double fetch_s(const Job& j, const MachineCapacity& m) const {
         if (m.has_image(j.image)) return 0;
         const double alone = j.image_gb / m.type->fetch_gb_per_s;
         if (m.view == nullptr) return alone;
@@ -295,7 +295,7 @@
     // start; then the kind of machine that fewer jobs may use, then the tightest fit.
     using Score = std::tuple<bool, int, bool, double, std::size_t>;
     Score score(const Job& j, std::size_t at) const {
-        const RoomMachine& m = room_.machines()[at];
+        const MachineCapacity& m = room_.machines()[at];
         const int image = static_cast<int>(std::lround(fetch_s(j, m)));
         return {m.candidate, image, m.spot != j.spot, m.free.cpus - j.need.cpus, at};
     }
@@ -304,7 +304,7 @@
         std::optional<std::size_t> best;
         Score best_score;
         for (std::size_t i = 0; i < room_.machines().size(); ++i) {
-            const RoomMachine& m = room_.machines()[i];
+            const MachineCapacity& m = room_.machines()[i];
             if (!has_room_for(e.job, m) || !zones.allows(e.job, m.zone) || listed_on(i, e, task)) continue;
             const Score s = score(e.job, i);
             if (!best || s < best_score) {
@@ -316,7 +316,7 @@
     }
 
     void start(const JobEntry& e, std::uint32_t task, std::uint64_t number, std::size_t at) {
-        const RoomMachine& m = room_.machines()[at];
+        const MachineCapacity& m = room_.machines()[at];
         room_.take(at, e.job.need);
         (m.spot ? free_spot_ : free_ordinary_) -= e.job.need.cpus;
         used_[e.job.team] += e.job.need;
@@ -327,7 +327,7 @@
 
     bool listed_on(std::size_t at, const JobEntry& e, std::uint32_t task) const {
         // An attempt of this task that is still listed there would make the worker refuse the start.
-        const RoomMachine& m = room_.machines()[at];
+        const MachineCapacity& m = room_.machines()[at];
         return m.view != nullptr && m.view->task(e.job.id, task) != nullptr;
     }
 
@@ -341,12 +341,12 @@
         if (fresh) known->second = ZoneUse::of(e, room_);
         ZoneUse& zones = known->second;
         const Shape form = shape(e.job);
-        // Room only shrinks within a pass: what had none for this shape has none now.
+        // FreeCapacity only shrinks within a pass: what had none for this shape has none now.
         const bool hopeless = full_for_.contains(form);
         std::vector<std::pair<Score, std::size_t>> order;
         if (!hopeless) {
             for (std::size_t i = 0; i < room_.machines().size(); ++i) {
-                const RoomMachine& m = room_.machines()[i];
+                const MachineCapacity& m = room_.machines()[i];
                 if (has_room_for(e.job, m)) order.emplace_back(score(e.job, i), i);
             }
             std::sort(order.begin(), order.end());
@@ -354,7 +354,7 @@
         }
         std::size_t next = 0;  // everything before it is full, or in a zone that the job may not use any more
         const auto fits = [&](std::size_t at) {
-            const RoomMachine& m = room_.machines()[at];
+            const MachineCapacity& m = room_.machines()[at];
             return e.job.need.fits_in(m.free) && zones.allows(e.job, m.zone);
         };
         for (const std::uint32_t task : unstarted_tasks(e, in_.most_starts)) {
@@ -367,7 +367,7 @@
             if (held != out_.reservations.end()) {
                 hold(held->second, -1.0);
                 const auto own = room_.at(held->second.machine);
-                if (own != Room::npos && room_.machines()[own].usable && fits(own) &&
+                if (own != FreeCapacity::npos && room_.machines()[own].usable && fits(own) &&
                     !listed_on(own, e, task))
                     at = own;
             }
@@ -473,7 +473,7 @@
 
     void hold(const Reservation& r, double sign) {
         const auto i = room_.at(r.machine);
-        if (i != Room::npos) room_.take(i, r.need * sign);
+        if (i != FreeCapacity::npos) room_.take(i, r.need * sign);
     }
 
     struct Victim {
@@ -507,7 +507,7 @@
         if (victims_.empty()) victims_.resize(room_.machines().size());
         if (victims_[at]) return *victims_[at];
         std::vector<Victim>& out = victims_[at].emplace();
-        const RoomMachine& m = room_.machines()[at];
+        const MachineCapacity& m = room_.machines()[at];
         if (!m.usable || m.draining || m.held == nullptr) return out;
         const JobEntry* last = nullptr;
         std::pair<int, Priority> own;
@@ -554,7 +554,7 @@
         std::size_t chosen_at = 0;
         std::tuple<bool, int, int, double> chosen_cost;
         for (std::size_t i = 0; i < room_.machines().size(); ++i) {
-            const RoomMachine& m = room_.machines()[i];
+            const MachineCapacity& m = room_.machines()[i];
             if (m.held == nullptr || (with_image && !m.has_image(e.job.image)) || !may_run_on(e.job, m) ||
                 !zones.allows(e.job, m.zone))
                 continue;
@@ -582,7 +582,7 @@
         if (chosen.empty()) return false;
         // The victims' room is not free before they have gone: a start into it now would be refused.
         double slowest = 0;
-        const RoomMachine& at = room_.machines()[chosen_at];
+        const MachineCapacity& at = room_.machines()[chosen_at];
         for (Victim* p : chosen) {
             Victim& v = *p;
             used_[v.entry->job.team] -= v.entry->job.need;
@@ -603,7 +603,7 @@
     }
 
     const PlacementInput& in_;
-    Room& room_;
+    FreeCapacity& room_;
     PlacementResult out_;
     std::map<std::string, Amount> used_;
     std::unordered_set<std::string> guaranteed_;
@@ -620,11 +620,11 @@
     std::set<Shape> full_for_;
     std::set<std::tuple<Shape, std::pair<int, Priority>, std::string, std::string>> no_victims_;
     std::vector<std::optional<std::vector<Victim>>> victims_;  // by machine; none: not looked for yet
-    std::vector<std::pair<RoomMachine*, bool>> closed_;
+    std::vector<std::pair<MachineCapacity*, bool>> closed_;
 };
 
 }  // namespace
 
-PlacementResult place(const PlacementInput& in, Room& room) { return Pass{in, room}.run(); }
+PlacementResult place(const PlacementInput& in, FreeCapacity& room) { return Pass{in, room}.run(); }
 
 }  // namespace hatchwind::core
--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -6,8 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "core/free_capacity.hpp"
 #include "core/ledger.hpp"
-#include "core/room.hpp"
 
 namespace hatchwind::core {
 
@@ -24,7 +24,7 @@
     double grace_s = 0;
 };
 
-// Room that was cleared for one task by stopping others; nobody else may take it until then.
+// FreeCapacity that was cleared for one task by stopping others; nobody else may take it until then.
 struct Reservation {
     std::string machine;
     Amount need;
@@ -73,6 +73,6 @@
 std::vector<const JobEntry*> queue_order(const Ledger& l, const std::set<std::string>& teams,
                                          const std::vector<Objective>& objectives, Micros wall);
 
-PlacementResult place(const PlacementInput& in, Room& room);
+PlacementResult place(const PlacementInput& in, FreeCapacity& room);
 
 }  // namespace hatchwind::core
--- a/src/service/leader.hpp
+++ b/src/service/leader.hpp
@@ -14,7 +14,7 @@
 class Leader {
   public:
     Leader(Node& n, Replica& r)
-        : n_(n), replica_(r), budget_(n.settings.cloud_rps * 0.9, n.settings.cloud_rps) {}
+        : node_(n), replica_(r), budget_(n.settings.cloud_rps * 0.9, n.settings.cloud_rps) {}
     // Every node needs the machine types, for submissions too.
     io::Task<void> keep_catalog();
     io::Task<void> keep_list();
@@ -35,7 +35,7 @@
     bool overdue(const Known& k, io::Micros now) const;
     void new_reign();
 
-    Node& n_;
+    Node& node_;
     Replica& replica_;
     Budget budget_;
     std::map<std::string, Known> known_;
--- a/src/service/membership.hpp
+++ b/src/service/membership.hpp
@@ -1,4 +1,4 @@
-// The node's grant, its mandate and the epochs; promises to and from the other nodes.
+// The node's grant, its node lease and the epochs; promises to and from the other nodes.
 #pragma once
 
 #include "service/node.hpp"
@@ -8,7 +8,7 @@
 
 class Membership {
   public:
-    Membership(Node& n, Replica& r) : n_(n), replica_(r), started_(io::steady_now()) {}
+    Membership(Node& n, Replica& r) : node_(n), replica_(r), started_(io::steady_now()) {}
     io::Task<void> keep_grant();
     io::Task<void> keep_epoch();
 
@@ -20,7 +20,7 @@
 
   private:
     io::Task<void> write_epoch(core::EpochPlan plan);
-    Node& n_;
+    Node& node_;
     Replica& replica_;
     const io::Micros started_;
     std::map<std::string, io::Micros> promised_;  // label -> steady
--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -14,15 +14,17 @@
 // Of each node's memory, this part may wait for one peer.
 constexpr std::size_t kQueueParts = 64;
 constexpr std::size_t kInbound = 16;
-constexpr Micros kBeat{500'000};
+constexpr Micros kHeartbeatInterval{500'000};
 constexpr Micros kSilence{4'000'000};
 constexpr Micros kUnconfirmed{3'000'000};
 }  // namespace
 
-Mesh::Mesh(Node& n, Membership& m) : n_(n), membership_(m), listener_(n.loop, n.settings.mesh) {
+Mesh::Mesh(Node& n, Membership& m) : node_(n), membership_(m), listener_(n.loop, n.settings.mesh) {
     for (const auto& p : n.settings.peers) links_[p.label] = std::make_unique<Link>(n.loop, p);
-    n_.forward = [this](const core::MachineView& v, Micros heard, bool whole) { forward(v, heard, whole); };
-    n_.announce_hold = [this](const wire::MeshHold& h) {
+    node_.forward = [this](const core::MachineView& v, Micros heard, bool whole) {
+        forward(v, heard, whole);
+    };
+    node_.announce_hold = [this](const wire::MeshHold& h) {
         for (auto& [label, link] : links_) push(*link, h);
     };
     membership_.ask_all = [this](const wire::MeshAsk& ask) {
@@ -32,7 +34,7 @@
 
 void Mesh::start(io::Scope& scope) {
     scope.spawn(serve());
-    scope.spawn(beat());
+    scope.spawn(heartbeat());
     for (auto& [label, link] : links_) scope.spawn(talk(*link));
 }
 
@@ -40,7 +42,7 @@
 
 void Mesh::push(Link& link, const std::string& frame) {
     if (!link.connected) return;
-    if (link.out.size() > static_cast<std::size_t>(n_.settings.memory_mb * 1024 * 1024) / kQueueParts) {
+    if (link.out.size() > static_cast<std::size_t>(node_.settings.memory_mb * 1024 * 1024) / kQueueParts) {
         // A peer that does not read: what it misses, the full picture makes good as soon as it has read the
         // rest.
         link.missed = true;
@@ -70,11 +72,11 @@
 }
 
 void Mesh::fill(Link& link) {
-    // What is known of images goes along, and the next beat has the whole tables.
+    // What is known of images goes along, and the next heartbeat has the whole tables.
     link.missed = false;
     link.answered_until = Micros{0};
     link.released_told = 0;
-    for (const auto& [id, view] : n_.picture.machines()) {
+    for (const auto& [id, view] : node_.picture.machines()) {
         wire::MeshReport m = describe(view, view.heard);
         for (const auto& [image, i] : view.images) m.images.emplace_back(image, i.gb);
         link.out += wire::encode_frame(m);
@@ -83,13 +85,13 @@
 
 Task<void> Mesh::talk(Link& link) {
     while (true) {
-        auto task = io::connect(n_.loop, link.peer.address, steady_now() + Micros{2'000'000});
+        auto task = io::connect(node_.loop, link.peer.address, steady_now() + Micros{2'000'000});
         auto socket = co_await std::move(task);
         if (!socket) {
-            co_await n_.loop.sleep(Micros{400'000});
+            co_await node_.loop.sleep(Micros{400'000});
             continue;
         }
-        link.out = wire::encode_frame(wire::MeshHello{wire::kMeshVersion, n_.self.label});
+        link.out = wire::encode_frame(wire::MeshHello{wire::kMeshVersion, node_.self.label});
         link.connected = true;
         link.confirmed = steady_now();
         fill(link);
@@ -110,7 +112,7 @@
         }
         link.connected = false;
         link.out.clear();
-        co_await n_.loop.sleep(Micros{200'000});
+        co_await node_.loop.sleep(Micros{200'000});
     }
 }
 
@@ -156,34 +158,35 @@
 }
 
 void Mesh::handle(const std::string& from, wire::MeshMessage& m) {
-    if (auto* beat = std::get_if<wire::MeshBeat>(&m)) {
-        auto& p = n_.peers[from];
+    if (auto* heartbeat = std::get_if<wire::MeshHeartbeat>(&m)) {
+        auto& p = node_.peers[from];
         // A held connection may deliver old tables after newer ones.
-        if (beat->wall_us < p.beat.wall_us) return;
-        for (const auto& [machine, at] : beat->answered) {
-            if (n_.picture.released(machine)) continue;
-            auto& any = n_.answered_any[machine];
+        if (heartbeat->wall_us < p.heartbeat.wall_us) return;
+        for (const auto& [machine, at] : heartbeat->answered) {
+            if (node_.picture.released(machine)) continue;
+            auto& any = node_.answered_any[machine];
             any = std::max(any, Micros{at});
-            n_.picture.heard(machine, Micros{at});
+            node_.picture.heard(machine, Micros{at});
         }
-        for (const auto& r : beat->released) n_.note_released(r);
-        if (from == n_.epoch.leader) n_.candidates = {beat->candidates.begin(), beat->candidates.end()};
-        for (const auto& h : beat->hears) {
-            if (h == n_.self.label) links_.at(from)->confirmed = steady_now();
+        for (const auto& r : heartbeat->released) node_.note_released(r);
+        if (from == node_.epoch.leader)
+            node_.candidates = {heartbeat->candidates.begin(), heartbeat->candidates.end()};
+        for (const auto& h : heartbeat->hears) {
+            if (h == node_.self.label) links_.at(from)->confirmed = steady_now();
         }
         // What does not answer somebody else may not answer anyone: this node asks for itself.
-        for (const auto& machine : beat->unanswered) {
-            if (n_.picture.find(machine) != nullptr) n_.suspects.try_emplace(machine);
+        for (const auto& machine : heartbeat->unanswered) {
+            if (node_.picture.find(machine) != nullptr) node_.suspects.try_emplace(machine);
         }
-        p.beat = std::move(*beat);
-        p.beat.answered.clear();
-        p.beat.released.clear();
+        p.heartbeat = std::move(*heartbeat);
+        p.heartbeat.answered.clear();
+        p.heartbeat.released.clear();
         p.received = steady_now();
         share_writes();
     } else if (auto* report = std::get_if<wire::MeshReport>(&m)) {
-        n_.take_forward(std::move(*report));
+        node_.take_forward(std::move(*report));
     } else if (const auto* alive = std::get_if<wire::MeshAlive>(&m)) {
-        n_.take_alive(*alive);
+        node_.take_alive(*alive);
     } else if (auto* ask = std::get_if<wire::MeshAsk>(&m)) {
         wire::MeshPromise answer{ask->number, membership_.may_promise()};
         if (answer.given) {
@@ -193,51 +196,51 @@
     } else if (auto* promise = std::get_if<wire::MeshPromise>(&m)) {
         membership_.promise_received(from, *promise);
     } else if (auto* hold = std::get_if<wire::MeshHold>(&m)) {
-        if (n_.foreign_holds.size() > std::max<std::size_t>(512, n_.picture.machines().size())) return;
+        if (node_.foreign_holds.size() > std::max<std::size_t>(512, node_.picture.machines().size())) return;
         const Micros until =
             steady_now() + std::min(Micros{static_cast<std::int64_t>(hold->for_us)}, Micros{10'000'000});
-        n_.foreign_holds[{hold->job, hold->task}] = {
+        node_.foreign_holds[{hold->job, hold->task}] = {
             hold->machine, {hold->cpus, hold->gpus, hold->memory_gb}, until, hold->waiting};
     }
 }
 
-Task<void> Mesh::beat() {
+Task<void> Mesh::heartbeat() {
     while (true) {
-        co_await n_.loop.sleep(kBeat);
-        wire::MeshBeat b;
-        b.label = n_.self.label;
-        b.grant = n_.self.grant;
-        b.epoch = n_.epoch.number;
-        b.state_ok = n_.state.reachable(steady_now());
-        b.fit = n_.fit;
+        co_await node_.loop.sleep(kHeartbeatInterval);
+        wire::MeshHeartbeat b;
+        b.label = node_.self.label;
+        b.grant = node_.self.grant;
+        b.epoch = node_.epoch.number;
+        b.state_ok = node_.state.reachable(steady_now());
+        b.fit = node_.fit;
         b.wall_us = io::wall_now().count();
         for (const auto& [label, link] : links_) {
-            if (n_.peer_fresh(label, steady_now())) b.hears.push_back(label);
+            if (node_.peer_fresh(label, steady_now())) b.hears.push_back(label);
         }
-        b.demand = static_cast<std::uint64_t>(n_.state.demand() * 10);
-        b.workers = n_.workers_here();
-        for (const auto& [machine, suspect] : n_.suspects) {
-            if (suspect.since.count() != 0 && steady_now() - suspect.since > Micros{3'000'000} && n_.fit) {
+        b.demand = static_cast<std::uint64_t>(node_.state.demand() * 10);
+        b.workers = node_.workers_here();
+        for (const auto& [machine, suspect] : node_.suspects) {
+            if (suspect.since.count() != 0 && steady_now() - suspect.since > Micros{3'000'000} && node_.fit) {
                 b.unanswered.push_back(machine);
             }
         }
-        if (n_.leads()) b.candidates.assign(n_.candidates.begin(), n_.candidates.end());
+        if (node_.leads()) b.candidates.assign(node_.candidates.begin(), node_.candidates.end());
         share_writes();
         for (auto& [label, link] : links_) {
             if (!link->connected) continue;
             b.answered.clear();
             b.released.clear();
-            for (const auto& [machine, at] : n_.answered_here) {
+            for (const auto& [machine, at] : node_.answered_here) {
                 if (at >= link->answered_until) b.answered.emplace_back(machine, at.count());
             }
-            const auto news =
-                std::min<std::uint64_t>(n_.released_count - link->released_told, n_.released_log.size());
-            b.released.assign(n_.released_log.end() - static_cast<std::ptrdiff_t>(news),
-                              n_.released_log.end());
+            const auto news = std::min<std::uint64_t>(node_.released_count - link->released_told,
+                                                      node_.released_log.size());
+            b.released.assign(node_.released_log.end() - static_cast<std::ptrdiff_t>(news),
+                              node_.released_log.end());
             push(*link, b);
-            // If the link has no room this beat is lost, and fill() starts the tables anew.
+            // If the link has no room this heartbeat is lost, and fill() starts the tables anew.
             link->answered_until = Micros{b.wall_us};
-            link->released_told = n_.released_count;
+            link->released_told = node_.released_count;
         }
     }
 }
@@ -245,14 +248,14 @@
 void Mesh::share_writes() {
     // The store's write limit goes to those that have something to write: with fewer teams than nodes, equal
     // parts leave most of it unused.
-    const double nodes = static_cast<double>(std::max<std::size_t>(n_.epoch.members.size(), 1));
-    const double mine = n_.state.demand() + 0.1;
+    const double nodes = static_cast<double>(std::max<std::size_t>(node_.epoch.members.size(), 1));
+    const double mine = node_.state.demand() + 0.1;
     double all = mine;
-    for (const auto& m : n_.epoch.members) {
-        if (m.label == n_.self.label || !n_.peer_fresh(m.label, steady_now())) continue;
-        all += static_cast<double>(n_.peers[m.label].beat.demand) / 10 + 0.1;
+    for (const auto& m : node_.epoch.members) {
+        if (m.label == node_.self.label || !node_.peer_fresh(m.label, steady_now())) continue;
+        all += static_cast<double>(node_.peers[m.label].heartbeat.demand) / 10 + 0.1;
     }
-    n_.state.share(n_.epoch.members.size(), 0.1 / nodes + 0.9 * mine / all);
+    node_.state.share(node_.epoch.members.size(), 0.1 / nodes + 0.9 * mine / all);
 }
 
 }  // namespace hatchwind::service
--- a/src/service/mesh.hpp
+++ b/src/service/mesh.hpp
@@ -15,7 +15,7 @@
   public:
     Mesh(Node& n, Membership& m);
     io::Task<void> serve();
-    io::Task<void> beat();
+    io::Task<void> heartbeat();
     void start(io::Scope& scope);
     void forward(const core::MachineView& v, io::Micros heard, bool whole);
 
@@ -40,7 +40,7 @@
     void share_writes();
     static wire::MeshReport describe(const core::MachineView& v, io::Micros heard);
 
-    Node& n_;
+    Node& node_;
     Membership& membership_;
     io::Listener listener_;
     std::map<std::string, std::unique_ptr<Link>> links_;
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -26,7 +26,7 @@
       cloud_http(l, 2),
       advanced(l),
       hurry(l),
-      mandate(labels(settings.peers)),
+      node_lease(labels(settings.peers)),
       work(l),
       fleet_work(l) {
     self.label = settings.label;
@@ -34,7 +34,7 @@
 }
 
 bool Node::acting() const {
-    if (!synced || !mandate.alive(io::steady_now())) return false;
+    if (!synced || !node_lease.alive(io::steady_now())) return false;
     const core::Member* m = epoch.member(self.label);
     return m != nullptr && *m == self;
 }
@@ -66,8 +66,8 @@
     std::vector<std::string> out;
     for (const auto& m : epoch.members) {
         if (m.label == self.label || !peer_fresh(m.label, now)) continue;
-        const wire::MeshBeat& beat = peers.at(m.label).beat;
-        if (beat.grant == m.grant && beat.fit) out.push_back(m.label);
+        const wire::MeshHeartbeat& heartbeat = peers.at(m.label).heartbeat;
+        if (heartbeat.grant == m.grant && heartbeat.fit) out.push_back(m.label);
     }
     return out;
 }
@@ -202,7 +202,8 @@
     for (const auto& m : epoch.members) {
         if (m.label == self.label) continue;
         const auto p = peers.find(m.label);
-        if (p == peers.end() || p->second.beat.grant != m.grant || p->second.beat.wall_us < end.count())
+        if (p == peers.end() || p->second.heartbeat.grant != m.grant ||
+            p->second.heartbeat.wall_us < end.count())
             return false;
     }
     return true;
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -22,7 +22,7 @@
 
 // What a peer last said of itself.
 struct PeerView {
-    wire::MeshBeat beat;
+    wire::MeshHeartbeat heartbeat;
     io::Micros received{0};  // steady; 0: never
 };
 
@@ -48,16 +48,16 @@
     io::Signal hurry;     // somebody waits for the copy
 
     core::Picture picture;
-    core::RoomMemory room_memory;
+    core::FreeCapacityCache free_capacity_cache;
     std::optional<core::Catalog> catalog;
     core::Member self;
-    core::Mandate mandate;
+    core::NodeLease node_lease;
     std::map<std::string, PeerView> peers;
     // Time of day at which each worker was last answered by this life, and by any node that told us.
     std::map<std::string, io::Micros> answered_here;
     std::map<std::string, io::Micros> answered_any;
     std::set<std::string> candidates;  // the leader's drain candidates, as last heard
-    // Room that other owners are clearing for their tasks.
+    // FreeCapacity that other owners are clearing for their tasks.
     std::map<core::TaskRef, core::Reservation> foreign_holds;
     std::deque<std::string> released_log;  // newest last, bounded
     std::uint64_t released_count = 0;      // ever put into the log
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -16,7 +16,7 @@
 namespace {
 constexpr Micros kResendStart{1'200'000};
 constexpr Micros kResendStop{1'000'000};
-constexpr Micros kEndsWait{4'000'000};
+constexpr Micros kCompletionsWait{4'000'000};
 constexpr Micros kEmptyPages{3'000'000};
 constexpr double kChunksPerPage = 4;  // about so many are written together
 // A page is written and read whole on every node for each change: larger ones save writes and cost time. So
@@ -52,11 +52,11 @@
 
 void Owner::note_exit(const core::JobEntry& e, const core::Attempt& a, ExitCause cause) {
     const Micros now = steady_now();
-    Trouble& m = machine_trouble_[a.machine];
+    FailureRecord& m = machine_failures_[a.machine];
     switch (cause) {
         case ExitCause::done:
-            machine_trouble_.erase(a.machine);
-            job_trouble_.erase(e.job.id);
+            machine_failures_.erase(a.machine);
+            job_failures_.erase(e.job.id);
             break;
         case ExitCause::no_room:
             // Another owner was faster; its record arrives by the watch.
@@ -66,12 +66,12 @@
             m.until = std::max(m.until, now + Micros{5'000'000});
             break;
         case ExitCause::unknown:
-            job_trouble_[e.job.id].until = now + Micros{3'000'000};
+            job_failures_[e.job.id].until = now + Micros{3'000'000};
             break;
         case ExitCause::error: {
             // A faulty machine fails many jobs' tasks, a job with a mistake fails on many machines: both are
             // tried ever more seldom, and neither stops the other for long.
-            Trouble& j = job_trouble_[e.job.id];
+            FailureRecord& j = job_failures_[e.job.id];
             j.errors = std::min(j.errors + 1, 6);
             j.jobs.insert(a.machine);
             if (j.jobs.size() >= 2) j.until = now + Micros{500'000} * (1 << j.errors);
@@ -102,9 +102,9 @@
 Owner::Place Owner::look_at(const std::string& machine, const core::MachineView* view, Micros now) const {
     // Whatever its last report said of its tasks: when many machines fall silent at once nobody releases
     // them, and what ran on them has ended with their leases. One that reports has a lease.
-    const Micros since{static_cast<std::int64_t>(std::max(3.0, n_.settings.report_s * 1.5) * 1e6)};
+    const Micros since{static_cast<std::int64_t>(std::max(3.0, node_.settings.report_s * 1.5) * 1e6)};
     const bool quiet = view == nullptr || now - view->changed > since;
-    return {view, quiet && n_.lease_over(machine, io::wall_now()), now};
+    return {view, quiet && node_.lease_over(machine, io::wall_now()), now};
 }
 
 bool Owner::settle_attempt(Staged& s, const core::JobEntry& e, std::uint32_t task, const core::Attempt& a,
@@ -112,7 +112,7 @@
     const Micros now = at.now;
     const core::MachineView* view = at.view;
     const std::uint32_t chunk = task / core::kChunkTasks;
-    const auto v = view == nullptr ? core::view_attempt(n_.picture, e.job.id, task, a)
+    const auto v = view == nullptr ? core::view_attempt(node_.picture, e.job.id, task, a)
                                    : core::view_attempt(*view, e.job.id, task, a.number, a.session);
     if (at.over && v.fate != Fate::exited && v.fate != Fate::gone) {
         spdlog::info("event=lease_over job={} task={} machine={}", e.job.id, task, a.machine);
@@ -135,7 +135,7 @@
             if (e.job.cancelled) {
                 // Not started, and nothing of it under way under any token that the worker still takes.
                 if (!workers_.start_pending(e.job.id, task, a.number) &&
-                    view->last.token >= n_.epoch.number) {
+                    view->last.token >= node_.epoch.number) {
                     close(s, e, chunk, task, a, false);
                 } else if (now - memo.last_stop >= kResendStop) {
                     // Brings the worker to this token, and ends a start that is under way as soon as it
@@ -172,23 +172,23 @@
         if (saves && *view->notice_until - now < need)
             stop(e.job.id, task, a, e.job.save_s + 1.0, kResendStop * 5);
         if (v.state == TaskState::fetching) stop(e.job.id, task, a, 0, kResendStop);
-    } else if (n_.draining.contains(a.machine) && v.state != TaskState::saving) {
+    } else if (node_.draining.contains(a.machine) && v.state != TaskState::saving) {
         // Draining: what saves is moved, services are moved, plain tasks may finish what they have done.
         if (saves) stop(e.job.id, task, a, e.job.save_s + 1.0, kResendStop * 5);
         if (e.job.kind == core::JobKind::service || v.state == TaskState::fetching)
             stop(e.job.id, task, a, 0, kResendStop);
     }
-    return v.state != TaskState::saving && !view->notice_until && !n_.draining.contains(a.machine);
+    return v.state != TaskState::saving && !view->notice_until && !node_.draining.contains(a.machine);
 }
 
 void Owner::settle_machines(Staged& s) {
     const Micros time = steady_now();
     spare_settled_.clear();
-    spare_settled_.reserve(n_.ledger.by_machine().size());
-    auto view = n_.picture.machines().begin();
-    const auto views_end = n_.picture.machines().end();
+    spare_settled_.reserve(node_.ledger.by_machine().size());
+    auto view = node_.picture.machines().begin();
+    const auto views_end = node_.picture.machines().end();
     auto old = settled_.cbegin();
-    for (const auto& [id, recorded] : n_.ledger.by_machine()) {
+    for (const auto& [id, recorded] : node_.ledger.by_machine()) {
         while (view != views_end && view->first < id) ++view;
         while (old != settled_.cend() && old->machine < id) ++old;
         const bool known = view != views_end && view->first == id;
@@ -200,7 +200,7 @@
             now.calm = old != settled_.cend() && old->machine == id && old->calm &&
                        old->session == now.session && old->content_tick == now.content_tick &&
                        old->version == now.version && !at.over && !view->second.notice_until &&
-                       !n_.draining.contains(id);
+                       !node_.draining.contains(id);
         }
         if (!now.calm) {
             now.calm = known;
@@ -210,7 +210,7 @@
                 // One machine's tasks are in the order of their jobs.
                 if (held.entry != last) {
                     last = held.entry;
-                    mine = n_.owns(last->job.team) && !last->job.cancelled;
+                    mine = node_.owns(last->job.team) && !last->job.cancelled;
                 }
                 if (!mine) continue;
                 const core::Attempt a{held.number, id, held.session};
@@ -223,24 +223,25 @@
 }
 
 void Owner::settle_cancelled(Staged& s) {
-    for (const auto& [id, e] : n_.ledger.jobs()) {
-        if (!e.job.cancelled || e.open == 0 || !n_.owns(e.job.team)) continue;
+    for (const auto& [id, e] : node_.ledger.jobs()) {
+        if (!e.job.cancelled || e.open == 0 || !node_.owns(e.job.team)) continue;
         for (const auto& [i, c] : e.chunks) {
             for (const auto& [task, a] : c.open)
-                settle_attempt(s, e, task, a, look_at(a.machine, n_.picture.find(a.machine), steady_now()));
+                settle_attempt(s, e, task, a,
+                               look_at(a.machine, node_.picture.find(a.machine), steady_now()));
         }
     }
 }
 
 void Owner::settle(Staged& s) {
     // A node without a team has nobody's tasks to look after.
-    if (std::none_of(n_.epoch.owners.begin(), n_.epoch.owners.end(),
-                     [&](const auto& o) { return o.second == n_.self.label; }))
+    if (std::none_of(node_.epoch.owners.begin(), node_.epoch.owners.end(),
+                     [&](const auto& o) { return o.second == node_.self.label; }))
         return;
     settle_machines(s);
     settle_cancelled(s);
-    for (const auto& [id, e] : n_.ledger.jobs()) {
-        if (!n_.owns(e.job.team)) continue;
+    for (const auto& [id, e] : node_.ledger.jobs()) {
+        if (!node_.owns(e.job.team)) continue;
         std::uint32_t done = e.done;
         std::uint32_t open = e.open;
         for (auto it = s.chunks.lower_bound({id, 0}); it != s.chunks.end() && it->first.first == id; ++it) {
@@ -258,52 +259,53 @@
     core::PlacementInput in;
     in.most_records = records;
     // A pass starts what one transaction records; more would hold up what comes after it.
-    in.most_starts = std::max<std::size_t>(in.most_starts, n_.settings.txn_ops * 8);
-    in.most_stops = std::max<std::size_t>(in.most_stops, n_.picture.machines().size() / 100);
-    in.ledger = &n_.ledger;
-    in.picture = &n_.picture;
-    in.teams = &n_.settings.teams;
-    in.objectives = &n_.settings.objectives;
-    for (const auto& [name, team] : n_.settings.teams) {
-        if (n_.owns(name)) in.own_teams.insert(name);
+    in.most_starts = std::max<std::size_t>(in.most_starts, node_.settings.txn_ops * 8);
+    in.most_stops = std::max<std::size_t>(in.most_stops, node_.picture.machines().size() / 100);
+    in.ledger = &node_.ledger;
+    in.picture = &node_.picture;
+    in.teams = &node_.settings.teams;
+    in.objectives = &node_.settings.objectives;
+    for (const auto& [name, team] : node_.settings.teams) {
+        if (node_.owns(name)) in.own_teams.insert(name);
     }
     in.now = steady_now();
     in.wall = io::wall_now();
     bool any = false;
-    for (const auto& [id, e] : n_.ledger.jobs()) {
+    for (const auto& [id, e] : node_.ledger.jobs()) {
         any = any || (e.unstarted() > 0 && !e.job.cancelled && in.own_teams.contains(e.job.team));
     }
     if (!any) return 0;
-    for (const auto& [id, t] : job_trouble_) in.job_backoff[id] = t.until;
+    for (const auto& [id, t] : job_failures_) in.job_backoff[id] = t.until;
     in.reservations = reservations_;
     std::erase_if(stopping_, [&](const auto& s) { return s.second <= in.now; });
     for (const auto& [ref, until] : stopping_) in.stopping.insert(ref);
-    auto availability = n_.availability();
-    for (const auto& [id, t] : machine_trouble_) {
+    auto availability = node_.availability();
+    for (const auto& [id, t] : machine_failures_) {
         if (t.until > in.now) availability.banned_until[id] = t.until;
     }
-    core::Room room = core::Room::build(n_.picture, n_.ledger, *n_.catalog, availability, &n_.room_memory);
-    // Room that another owner has cleared: without this the victim's owner, which hears of the exit as soon
-    // as anyone, puts the task right back and is stopped again, over and over.
-    std::erase_if(n_.foreign_holds, [&](const auto& h) {
-        const core::Attempt* a = n_.ledger.open_attempt(h.first.job, h.first.task);
+    core::FreeCapacity room = core::FreeCapacity::build(node_.picture, node_.ledger, *node_.catalog,
+                                                        availability, &node_.free_capacity_cache);
+    // FreeCapacity that another owner has cleared: without this the victim's owner, which hears of the exit
+    // as soon as anyone, puts the task right back and is stopped again, over and over.
+    std::erase_if(node_.foreign_holds, [&](const auto& h) {
+        const core::Attempt* a = node_.ledger.open_attempt(h.first.job, h.first.task);
         return h.second.until <= in.now || (a != nullptr && a->machine == h.second.machine);
     });
-    for (const auto& [ref, h] : n_.foreign_holds) in.foreign.push_back(h);
+    for (const auto& [ref, h] : node_.foreign_holds) in.foreign.push_back(h);
     auto result = core::place(in, room);
-    room.recycle(n_.room_memory);
+    room.recycle(node_.free_capacity_cache);
     for (const auto& [ref, r] : result.reservations) {
         // Told again before it runs out on the others' side.
         auto& told = announced_[ref];
-        if (!n_.announce_hold || r.until - told < Micros{3'000'000}) continue;
+        if (!node_.announce_hold || r.until - told < Micros{3'000'000}) continue;
         told = r.until;
-        n_.announce_hold({r.machine, ref.job, ref.task, r.need.cpus, r.need.gpus, r.need.memory_gb,
-                          static_cast<std::uint64_t>((r.until - in.now).count()), r.waiting});
+        node_.announce_hold({r.machine, ref.job, ref.task, r.need.cpus, r.need.gpus, r.need.memory_gb,
+                             static_cast<std::uint64_t>((r.until - in.now).count()), r.waiting});
     }
     reservations_ = std::move(result.reservations);
     std::erase_if(announced_, [&](const auto& a) { return !reservations_.contains(a.first); });
     for (const auto& st : result.starts) {
-        const core::JobEntry& e = *n_.ledger.find(st.job);
+        const core::JobEntry& e = *node_.ledger.find(st.job);
         Record& r = stage(s, e, st.task / core::kChunkTasks);
         r.chunk.open[st.task] = st.attempt;
         r.chunk.last_attempt = std::max(r.chunk.last_attempt, st.attempt.number);
@@ -326,7 +328,7 @@
     // Finished jobs: the end state replaces the job's record in one step. What its pages say of it leaves
     // with their next writes.
     for (const auto& id : s.finished) {
-        const core::JobEntry& e = *n_.ledger.find(id);
+        const core::JobEntry& e = *node_.ledger.find(id);
         const auto status = e.job.cancelled ? wire::JobStatus::cancelled : wire::JobStatus::done;
         std::uint32_t done = 0;
         Unit u;
@@ -349,7 +351,7 @@
     if (s.chunks.empty()) return out;
 
     // What the pages of this node's teams hold, at the most that their chunks may grow to.
-    const std::size_t name = n_.picture.longest_name();
+    const std::size_t name = node_.picture.longest_name();
     const auto reserve = [&](const core::JobEntry& e, std::uint32_t chunk) {
         const std::uint32_t tasks = std::min(core::kChunkTasks, e.job.tasks - chunk * core::kChunkTasks);
         // What is done stays done, and takes less.
@@ -357,30 +359,31 @@
         const std::uint32_t done = c == e.chunks.end() ? 0 : c->second.done.size();
         return 90 + e.job.id.size() + (tasks - done) * (name + 20) + done * 10;
     };
-    const std::size_t room = page_bytes(n_.settings);
-    std::map<core::PageKey, std::size_t> load;
-    for (const auto& [key, page] : n_.ledger.pages()) {
-        if (!n_.owns(key.first)) continue;
+    const std::size_t room = page_bytes(node_.settings);
+    std::map<core::AttemptPageKey, std::size_t> load;
+    for (const auto& [key, page] : node_.ledger.pages()) {
+        if (!node_.owns(key.first)) continue;
         std::size_t& sum = load[key];
         for (const auto& [job, chunk] : page.chunks) {
-            const core::JobEntry* e = n_.ledger.find(job);
+            const core::JobEntry* e = node_.ledger.find(job);
             if (e != nullptr && !ending.contains(job)) sum += reserve(*e, chunk);
         }
     }
-    std::map<core::PageKey, std::vector<const core::ChunkKey*>> touched;
+    std::map<core::AttemptPageKey, std::vector<const core::ChunkKey*>> touched;
     for (const auto& [key, r] : s.chunks) {
-        if (r.chunk.page != 0) touched[{n_.ledger.find(key.first)->job.team, r.chunk.page}].push_back(&key);
+        if (r.chunk.page != 0)
+            touched[{node_.ledger.find(key.first)->job.team, r.chunk.page}].push_back(&key);
     }
     for (auto& [key, r] : s.chunks) {
         if (r.chunk.page != 0) continue;
-        const core::JobEntry& e = *n_.ledger.find(key.first);
+        const core::JobEntry& e = *node_.ledger.find(key.first);
         const std::size_t need = reserve(e, key.second);
         // Pages that are written anyway first, then the emptiest, then a new one.
-        const core::PageKey* at = nullptr;
+        const core::AttemptPageKey* at = nullptr;
         for (const auto& [page, chunks] : touched) {
             if (page.first == e.job.team && load[page] + need <= room) at = &page;
         }
-        core::PageKey fresh{e.job.team, 1};
+        core::AttemptPageKey fresh{e.job.team, 1};
         if (at == nullptr) {
             std::size_t least = room;
             for (const auto& [page, sum] : load) {
@@ -392,7 +395,7 @@
                 }
             }
         }
-        const core::PageKey page = at == nullptr ? fresh : *at;
+        const core::AttemptPageKey page = at == nullptr ? fresh : *at;
         load[page] += need;
         r.chunk.page = page.second;
         touched[page].push_back(&key);
@@ -401,19 +404,19 @@
         Unit u;
         u.rank = 5;
         std::map<core::ChunkKey, const core::Chunk*> content;
-        const auto known = n_.ledger.pages().find(page);
+        const auto known = node_.ledger.pages().find(page);
         u.conditions.emplace_back(keys::page(page),
-                                  known == n_.ledger.pages().end() ? 0 : known->second.stamp);
-        if (known != n_.ledger.pages().end()) {
+                                  known == node_.ledger.pages().end() ? 0 : known->second.stamp);
+        if (known != node_.ledger.pages().end()) {
             for (const auto& chunk : known->second.chunks) {
-                const core::JobEntry* e = n_.ledger.find(chunk.first);
+                const core::JobEntry* e = node_.ledger.find(chunk.first);
                 if (e != nullptr && !ending.contains(chunk.first))
                     content[chunk] = &e->chunks.at(chunk.second);
             }
         }
         for (const core::ChunkKey* key : keys_here) {
             Record& r = s.chunks.at(*key);
-            const core::JobEntry& e = *n_.ledger.find(key->first);
+            const core::JobEntry& e = *node_.ledger.find(key->first);
             const bool production = e.job.priority == core::Priority::production;
             int rank = 0;
             if (!r.started.empty()) {
@@ -426,7 +429,7 @@
                 // Ends of tasks alone are told by the worker until they are reaped. They wait for company,
                 // since each write of a page counts the same however much it says.
                 const Micros since = waiting_since_.try_emplace(*key, now).first->second;
-                rank = r.urgent ? (production ? 0 : 1) : now - since > kEndsWait ? 3 : 4;
+                rank = r.urgent ? (production ? 0 : 1) : now - since > kCompletionsWait ? 3 : 4;
             }
             u.rank = std::min(u.rank, rank);
             content[*key] = &r.chunk;
@@ -444,11 +447,11 @@
 }
 
 Task<bool> Owner::commit(std::vector<Unit> all) {
-    const std::size_t most = n_.settings.txn_ops;
+    const std::size_t most = node_.settings.txn_ops;
     std::size_t next = 0;
     while (next < all.size()) {
         wire::Transaction t;
-        t.conditions.emplace_back(keys::kEpoch, n_.epoch.stamp);
+        t.conditions.emplace_back(keys::kEpoch, node_.epoch.stamp);
         std::size_t bytes = 0;
         const std::size_t first = next;
         for (; next < all.size(); ++next) {
@@ -464,9 +467,9 @@
             for (const auto& w : u.effects) t.writes.push_back({w.key, w.value, 0});
             bytes += u.bytes;
         }
-        const std::uint64_t epoch = n_.epoch.number;
+        const std::uint64_t epoch = node_.epoch.number;
         while (true) {
-            auto task = n_.state.commit(t, steady_now() + Micros{3'000'000});
+            auto task = node_.state.commit(t, steady_now() + Micros{3'000'000});
             const CommitResult r = co_await std::move(task);
             if (r.outcome == Commit::done) {
                 for (std::size_t i = first; i < next; ++i) {
@@ -477,7 +480,7 @@
                     for (const auto& key : all[i].keys) waiting_since_.erase(key);
                     for (auto& c : all[i].closed) to_reap_.push_back(std::move(c));
                     // Recorded, so it may start; if this node is the owner no more, its order is void.
-                    if (!n_.acting() || epoch != n_.epoch.number) continue;
+                    if (!node_.acting() || epoch != node_.epoch.number) continue;
                     for (const auto& st : all[i].started) {
                         memos_[{st.job, st.task}] = Memo{st.attempt.number, steady_now(), Micros{0}};
                         workers_.order(st.attempt.machine, st.attempt.session,
@@ -486,17 +489,17 @@
                 }
                 break;
             }
-            if (r.outcome == Commit::unknown && n_.acting()) {
+            if (r.outcome == Commit::unknown && node_.acting()) {
                 // It may have been carried out, or may be later: the same again until there is an answer. Its
                 // conditions make all but one copy fail.
-                co_await n_.loop.sleep(Micros{100'000});
+                co_await node_.loop.sleep(Micros{100'000});
                 continue;
             }
             if (r.outcome == Commit::conflict) {
                 auto reach = replica_.reach_conflict(t.conditions, r, steady_now() + Micros{2'000'000});
                 co_await std::move(reach);
             } else {
-                co_await n_.loop.sleep(Micros{150'000});
+                co_await node_.loop.sleep(Micros{150'000});
             }
             co_return false;
         }
@@ -508,7 +511,7 @@
     // The end is committed. The exited attempt leaves the worker's list once no copy of its start can arrive.
     std::erase_if(to_reap_, [&](const Closed& c) {
         if (workers_.start_pending(c.job, c.task, c.attempt.number)) return false;
-        const auto v = core::view_attempt(n_.picture, c.job, c.task, c.attempt);
+        const auto v = core::view_attempt(node_.picture, c.job, c.task, c.attempt);
         if (v.fate == Fate::exited) {
             workers_.order(c.attempt.machine, c.attempt.session,
                            {core::OrderKind::forget, c.job, c.task, c.attempt.number, 0});
@@ -521,23 +524,23 @@
     // Leftovers of earlier epochs. What is listed without an open record was closed by an earlier owner; its
     // starts carried a lower token, so once the worker has ours none of them can still take effect.
     std::map<std::tuple<std::string, std::string, std::uint32_t, std::uint64_t>, std::uint64_t> seen;
-    for (const auto& [id, m] : n_.picture.machines()) {
-        if (m.last.token < n_.epoch.number) continue;
+    for (const auto& [id, m] : node_.picture.machines()) {
+        if (m.last.token < node_.epoch.number) continue;
         // A silent machine's last report may list what its lease has ended since.
-        const bool heard = now - m.changed < n_.doubt_after();
+        const bool heard = now - m.changed < node_.doubt_after();
         for (const auto& t : m.last.tasks) {
-            const core::JobEntry* e = n_.ledger.find(t.job);
-            if (e != nullptr ? !n_.owns(e->job.team) : !n_.leads()) continue;
-            const core::Attempt* a = n_.ledger.open_attempt(t.job, t.task);
+            const core::JobEntry* e = node_.ledger.find(t.job);
+            if (e != nullptr ? !node_.owns(e->job.team) : !node_.leads()) continue;
+            const core::Attempt* a = node_.ledger.open_attempt(t.job, t.task);
             if (a != nullptr && a->number == t.attempt && a->machine == id) continue;
             if (workers_.start_pending(t.job, t.task, t.attempt)) continue;
             const auto key = std::tuple{id, t.job, t.task, t.attempt};
             const auto before = strays_.find(key);
             // An owner's own closings are reaped above; others only when first seen before this epoch.
-            const std::uint64_t first = before == strays_.end() ? n_.epoch.number : before->second;
+            const std::uint64_t first = before == strays_.end() ? node_.epoch.number : before->second;
             seen[key] = first;
             if (t.state == TaskState::exited) {
-                if (first < n_.epoch.number) {
+                if (first < node_.epoch.number) {
                     workers_.order(id, m.last.session,
                                    {core::OrderKind::forget, t.job, t.task, t.attempt, 0});
                 }
@@ -549,21 +552,22 @@
         }
     }
     strays_ = std::move(seen);
-    std::erase_if(
-        memos_, [&](const auto& m) { return n_.ledger.open_attempt(m.first.job, m.first.task) == nullptr; });
-    std::erase_if(job_trouble_, [&](const auto& t) { return n_.ledger.find(t.first) == nullptr; });
-    std::erase_if(machine_trouble_, [&](const auto& t) { return n_.picture.find(t.first) == nullptr; });
+    std::erase_if(memos_, [&](const auto& m) {
+        return node_.ledger.open_attempt(m.first.job, m.first.task) == nullptr;
+    });
+    std::erase_if(job_failures_, [&](const auto& t) { return node_.ledger.find(t.first) == nullptr; });
+    std::erase_if(machine_failures_, [&](const auto& t) { return node_.picture.find(t.first) == nullptr; });
 }
 
 Task<void> Owner::run() {
     while (true) {
-        co_await n_.work.wait(steady_now() + Micros{400'000});
+        co_await node_.work.wait(steady_now() + Micros{400'000});
         // Close changes share one pass and one group commit. A pass that takes long on this machine leaves
         // the time of four more to reports, users and renewals.
-        co_await n_.loop.sleep(std::max(n_.tunables.pass_gap, 4 * last_pass_));
-        if (!n_.acting() || !n_.catalog) continue;
-        if (epoch_seen_ != n_.epoch.number) {
-            epoch_seen_ = n_.epoch.number;
+        co_await node_.loop.sleep(std::max(node_.tunables.pass_gap, 4 * last_pass_));
+        if (!node_.acting() || !node_.catalog) continue;
+        if (epoch_seen_ != node_.epoch.number) {
+            epoch_seen_ = node_.epoch.number;
             memos_.clear();
             reservations_.clear();
             waiting_since_.clear();
@@ -573,10 +577,10 @@
         Staged s;
         settle(s);
         // Nothing new is placed in an outage.
-        if (n_.state.reachable(steady_now())) {
+        if (node_.state.reachable(steady_now())) {
             // What the budget bears within half a second, but enough for one record of each sort.
-            const double spare = std::max(0.0, n_.state.spare_writes());
-            const double bear = std::max(6.0, spare + n_.state.write_rate() * 0.5);
+            const double spare = std::max(0.0, node_.state.spare_writes());
+            const double bear = std::max(6.0, spare + node_.state.write_rate() * 0.5);
             const std::size_t pressing = s.finished.size() * 2;
             const std::size_t deferred =
                 place(s, static_cast<std::size_t>(
@@ -591,39 +595,40 @@
                 (out ? left_out : sum) += writes;
                 return out;
             });
-            n_.state.set_backlog(left_out + static_cast<double>(deferred));
+            node_.state.set_backlog(left_out + static_cast<double>(deferred));
             last_pass_ = std::min(steady_now() - began, Micros{1'000'000});
             spdlog::debug(
                 "event=pass took_us={} units={} writes={} left_out={} deferred={} spare={:.1f} rate={:.1f}",
-                last_pass_.count(), all.size(), sum, left_out, deferred, spare, n_.state.write_rate());
+                last_pass_.count(), all.size(), sum, left_out, deferred, spare, node_.state.write_rate());
             if (!all.empty()) {
                 auto task = commit(std::move(all));
                 const bool ok = co_await std::move(task);
                 // The room of the pass is used up by then: another pass sees what is left to do.
-                if (ok) n_.work.notify_all();
+                if (ok) node_.work.notify_all();
             }
         } else {
             last_pass_ = steady_now() - began;
         }
         reap();
         // Pages that only speak of jobs that are over.
-        if (steady_now() - last_emptied_ < kEmptyPages || !n_.acting() || n_.state.spare_writes() < 4)
+        if (steady_now() - last_emptied_ < kEmptyPages || !node_.acting() || node_.state.spare_writes() < 4)
             continue;
         last_emptied_ = steady_now();
         wire::Transaction t;
         std::vector<wire::StoreItem> effects;
-        t.conditions.emplace_back(keys::kEpoch, n_.epoch.stamp);
-        for (const auto& [key, page] : n_.ledger.pages()) {
-            if (!n_.owns(key.first) || t.writes.size() >= 3) continue;
-            const bool used = std::any_of(page.chunks.begin(), page.chunks.end(),
-                                          [&](const auto& c) { return n_.ledger.find(c.first) != nullptr; });
+        t.conditions.emplace_back(keys::kEpoch, node_.epoch.stamp);
+        for (const auto& [key, page] : node_.ledger.pages()) {
+            if (!node_.owns(key.first) || t.writes.size() >= 3) continue;
+            const bool used = std::any_of(page.chunks.begin(), page.chunks.end(), [&](const auto& c) {
+                return node_.ledger.find(c.first) != nullptr;
+            });
             if (used) continue;
             t.conditions.emplace_back(keys::page(key), page.stamp);
             t.writes.push_back({keys::page(key), std::nullopt, 0});
             effects.push_back({keys::page(key), std::nullopt, 0});
         }
         if (effects.empty()) continue;
-        auto task = n_.state.commit(std::move(t), steady_now() + Micros{1'000'000});
+        auto task = node_.state.commit(std::move(t), steady_now() + Micros{1'000'000});
         const CommitResult r = co_await std::move(task);
         if (r.outcome == Commit::done) {
             for (auto& e : effects) {
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -12,7 +12,7 @@
 
 class Owner {
   public:
-    Owner(Node& n, Replica& r, Workers& w) : n_(n), replica_(r), workers_(w) {}
+    Owner(Node& n, Replica& r, Workers& w) : node_(n), replica_(r), workers_(w) {}
     io::Task<void> run();
 
   private:
@@ -21,7 +21,7 @@
         io::Micros last_start{0};
         io::Micros last_stop{0};
     };
-    struct Trouble {
+    struct FailureRecord {
         int errors = 0;
         io::Micros until{0};
         std::set<std::string> jobs;
@@ -81,7 +81,7 @@
     void stop(const std::string& job, std::uint32_t task, const core::Attempt& a, double grace_s,
               io::Micros every);
 
-    Node& n_;
+    Node& node_;
     Replica& replica_;
     Workers& workers_;
     // Machines with recorded attempts as the last pass left them, in order: most are as they were, and
@@ -96,8 +96,8 @@
     std::vector<Settled> settled_;
     std::vector<Settled> spare_settled_;  // its memory serves the next pass
     std::map<core::TaskRef, Memo> memos_;
-    std::map<std::string, Trouble> machine_trouble_;
-    std::map<std::string, Trouble> job_trouble_;
+    std::map<std::string, FailureRecord> machine_failures_;
+    std::map<std::string, FailureRecord> job_failures_;
     std::map<core::TaskRef, core::Reservation> reservations_;
     std::map<core::TaskRef, io::Micros> announced_;  // until when the others know of a reservation
     std::map<core::TaskRef, io::Micros> stopping_;   // until when a stop for room may take
--- a/src/service/replica.cpp
+++ b/src/service/replica.cpp
@@ -18,13 +18,13 @@
 constexpr std::string_view kNode = "h/node/";
 constexpr Micros kReadAnew{10'000'000};  // the whole store, at most so often for a copy that is wrong
 
-std::optional<core::PageKey> page_key(std::string_view key) {
+std::optional<core::AttemptPageKey> page_key(std::string_view key) {
     const auto team_end = key.rfind('/');
     if (!key.starts_with(kRun) || team_end <= kRun.size()) return std::nullopt;
     const auto number =
         static_cast<std::uint32_t>(std::strtoul(std::string(key.substr(team_end + 1)).c_str(), nullptr, 10));
     if (number == 0) return std::nullopt;
-    return core::PageKey{std::string(key.substr(kRun.size(), team_end - kRun.size())), number};
+    return core::AttemptPageKey{std::string(key.substr(kRun.size(), team_end - kRun.size())), number};
 }
 }  // namespace
 
@@ -35,28 +35,28 @@
         if (!item.value) return;
         auto e = wire::parse_epoch_record(*item.value, item.stamp);
         ok = e.has_value();
-        if (ok && e->stamp > n_.epoch.stamp) {
+        if (ok && e->stamp > node_.epoch.stamp) {
             spdlog::info("event=epoch number={} leader={} members={} at={}", e->number, e->leader,
                          e->members.size(), item.stamp);
-            n_.epoch = std::move(*e);
-            n_.epoch_seen = steady_now();
+            node_.epoch = std::move(*e);
+            node_.epoch_seen = steady_now();
         }
     } else if (key.starts_with(kNode)) {
         const std::string label{key.substr(kNode.size())};
-        auto& record = n_.nodes[label];
+        auto& record = node_.nodes[label];
         if (record.stamp < item.stamp) {
             record.stamp = item.value ? item.stamp : 0;
             record.grant = item.value ? wire::whole(*item.value, "grant").value_or(0) : 0;
         }
-        if (n_.nodes[label].stamp == 0) n_.nodes.erase(label);
+        if (node_.nodes[label].stamp == 0) node_.nodes.erase(label);
     } else if (key.starts_with(kJob)) {
         const std::string id{key.substr(kJob.size())};
         if (item.value) {
             auto j = wire::parse_job_record(id, *item.value);
             ok = j.has_value();
-            if (ok) n_.ledger.put_job(std::move(*j), item.stamp);
+            if (ok) node_.ledger.put_job(std::move(*j), item.stamp);
         } else {
-            n_.ledger.erase_job(id, item.stamp);
+            node_.ledger.erase_job(id, item.stamp);
         }
     } else if (key.starts_with(kRun)) {
         const auto page = page_key(key);
@@ -64,16 +64,16 @@
         if (ok && item.value) {
             auto chunks = wire::parse_page_record(*item.value);
             ok = chunks.has_value();
-            if (ok) n_.ledger.put_page(*page, item.stamp, std::move(*chunks));
+            if (ok) node_.ledger.put_page(*page, item.stamp, std::move(*chunks));
         } else if (ok) {
-            n_.ledger.erase_page(*page, item.stamp);
+            node_.ledger.erase_page(*page, item.stamp);
         }
-    } else if (key == keys::kDraining && item.value && item.stamp > n_.draining_stamp) {
+    } else if (key == keys::kDraining && item.value && item.stamp > node_.draining_stamp) {
         auto names = wire::parse_names_record(*item.value);
         ok = names.has_value();
         if (ok) {
-            n_.draining = std::move(*names);
-            n_.draining_stamp = item.stamp;
+            node_.draining = std::move(*names);
+            node_.draining_stamp = item.stamp;
         }
     }
     if (!ok) spdlog::error("event=bad_record key={} stamp={}", item.key, item.stamp);
@@ -83,7 +83,7 @@
     // The answer to a commit may come long after the watch has brought the change, and its deletion too. A
     // deletion leaves no stamp that would keep the old record out: it would stay in this copy alone, and
     // every transaction that names it would fail.
-    if (item.stamp > n_.revision) apply(item);
+    if (item.stamp > node_.revision) apply(item);
 }
 
 Task<bool> Replica::load() {
@@ -93,7 +93,7 @@
     std::string after;
     core::Stamp first = 0;
     while (true) {
-        auto task = n_.state.page(keys::kRoot, after);
+        auto task = node_.state.page(keys::kRoot, after);
         auto page = co_await std::move(task);
         if (!page) co_return false;
         // Changes after the first page's revision come again by the watch.
@@ -102,15 +102,15 @@
         if (!page->more || all.empty()) break;
         after = all.back().key;
     }
-    n_.ledger.clear();
-    n_.nodes.clear();
-    n_.draining.clear();
-    n_.draining_stamp = 0;
+    node_.ledger.clear();
+    node_.nodes.clear();
+    node_.draining.clear();
+    node_.draining_stamp = 0;
     for (const auto& i : all) apply(i);
-    n_.revision = first;
-    n_.synced = true;
-    n_.synced_wall = io::wall_now();
-    n_.advanced.notify_all();
+    node_.revision = first;
+    node_.synced = true;
+    node_.synced_wall = io::wall_now();
+    node_.advanced.notify_all();
     spdlog::info("event=copy_loaded keys={} revision={}", all.size(), first);
     co_return true;
 }
@@ -123,52 +123,52 @@
             auto task = load();
             loaded = co_await std::move(task);
             if (!loaded) {
-                co_await n_.loop.sleep(Micros{250'000});
+                co_await node_.loop.sleep(Micros{250'000});
                 continue;
             }
         }
         const Micros opened = steady_now();
-        auto task = n_.state.watch(keys::kRoot, n_.revision, Micros{2'500'000});
+        auto task = node_.state.watch(keys::kRoot, node_.revision, Micros{2'500'000});
         const WatchResult w = co_await std::move(task);
         if (w.too_old) {
-            spdlog::info("event=watch_too_old revision={}", n_.revision);
+            spdlog::info("event=watch_too_old revision={}", node_.revision);
             loaded = false;
             continue;
         }
         if (!w.ok) {
-            co_await n_.loop.sleep(Micros{150'000});
+            co_await node_.loop.sleep(Micros{150'000});
             continue;
         }
         for (const auto& i : w.page.items) apply(i);
-        n_.revision = std::max(n_.revision, w.page.revision);
-        n_.advanced.notify_all();
+        node_.revision = std::max(node_.revision, w.page.revision);
+        node_.advanced.notify_all();
         if (!w.page.items.empty()) {
-            n_.work.notify_all();
-            n_.fleet_work.notify_all();
+            node_.work.notify_all();
+            node_.fleet_work.notify_all();
             // Opened watches count as requests: changes that come close together share one.
-            const Micros next = opened + n_.tunables.watch_gap;
-            if (next > steady_now()) co_await n_.hurry.wait(next);
+            const Micros next = opened + node_.tunables.watch_gap;
+            if (next > steady_now()) co_await node_.hurry.wait(next);
         }
     }
 }
 
 Task<bool> Replica::reach(core::Stamp revision, Micros deadline) {
-    while (n_.revision < revision || !n_.synced) {
+    while (node_.revision < revision || !node_.synced) {
         if (steady_now() >= deadline) co_return false;
-        n_.hurry.notify_all();
-        co_await n_.advanced.wait(deadline);
+        node_.hurry.notify_all();
+        co_await node_.advanced.wait(deadline);
     }
     co_return true;
 }
 
 core::Stamp Replica::stamp_of(std::string_view key) const {
     if (key.starts_with(kJob)) {
-        const core::JobEntry* e = n_.ledger.find(std::string(key.substr(kJob.size())));
+        const core::JobEntry* e = node_.ledger.find(std::string(key.substr(kJob.size())));
         return e == nullptr ? 0 : e->stamp;
     }
     const auto page = page_key(key);
-    const auto known = page ? n_.ledger.pages().find(*page) : n_.ledger.pages().end();
-    return known == n_.ledger.pages().end() ? 0 : known->second.stamp;
+    const auto known = page ? node_.ledger.pages().find(*page) : node_.ledger.pages().end();
+    return known == node_.ledger.pages().end() ? 0 : known->second.stamp;
 }
 
 Task<bool> Replica::reach_conflict(std::vector<std::pair<std::string, core::Stamp>> conditions,
@@ -202,13 +202,13 @@
         }
         reading_ = true;
         // Reads count against the request budget: polls that come close together share one.
-        const auto nodes = static_cast<double>(n_.peers.size() + 1);
+        const auto nodes = static_cast<double>(node_.peers.size() + 1);
         const Micros next =
-            last_read_ + Micros{static_cast<std::int64_t>(nodes * 4e6 / n_.settings.state_rps)};
-        if (next > steady_now()) co_await n_.loop.sleep(next - steady_now());
+            last_read_ + Micros{static_cast<std::int64_t>(nodes * 4e6 / node_.settings.state_rps)};
+        if (next > steady_now()) co_await node_.loop.sleep(next - steady_now());
         last_read_ = steady_now();
         read_sent_ = true;
-        auto task = n_.state.get("h/~", std::min(deadline, steady_now() + Micros{900'000}));
+        auto task = node_.state.get("h/~", std::min(deadline, steady_now() + Micros{900'000}));
         const GetResult r = co_await std::move(task);
         reading_ = read_sent_ = false;
         ++reads_;
--- a/src/service/replica.hpp
+++ b/src/service/replica.hpp
@@ -10,7 +10,7 @@
 constexpr const char* kEpoch = "h/epoch";
 inline std::string node(const std::string& label) { return "h/node/" + label; }
 inline std::string job(const std::string& id) { return "h/job/" + id; }
-inline std::string page(const core::PageKey& p) {
+inline std::string page(const core::AttemptPageKey& p) {
     return "h/run/" + p.first + "/" + std::to_string(p.second);
 }
 constexpr const char* kDraining = "h/draining";
@@ -19,7 +19,7 @@
 
 class Replica {
   public:
-    explicit Replica(Node& n) : n_(n), read_done_(n.loop) {}
+    explicit Replica(Node& n) : node_(n), read_done_(n.loop) {}
     io::Task<void> run();
     // Read index: true once the copy holds all that was committed before the call.
     io::Task<bool> caught_up(io::Micros deadline);
@@ -36,7 +36,7 @@
     io::Task<bool> load();
     // 0: the copy has no such record.
     core::Stamp stamp_of(std::string_view key) const;
-    Node& n_;
+    Node& node_;
     io::Signal read_done_;
     bool reading_ = false;    // one is under way, or waits for its turn
     bool read_sent_ = false;  // it has been sent: it serves nobody who comes now
--- a/src/service/settings.cpp
+++ b/src/service/settings.cpp
@@ -26,48 +26,50 @@
 // A value inside the file, with the path that leads to it, for messages.
 class Node {
   public:
-    Node(const Json& v, std::string path) : v_(v), path_(std::move(path)) {}
+    Node(const Json& v, std::string path) : value_(v), path_(std::move(path)) {}
 
     Node at(const char* key) const {
-        if (!v_.is_object()) fail(path_.empty() ? "file" : path_, shown(v_), "an object");
-        const auto it = v_.find(key);
-        if (it == v_.end()) fail(join(key), "nothing", "required");
+        if (!value_.is_object()) fail(path_.empty() ? "file" : path_, shown(value_), "an object");
+        const auto it = value_.find(key);
+        if (it == value_.end()) fail(join(key), "nothing", "required");
         return Node{*it, join(key)};
     }
     std::string text() const {
-        if (!v_.is_string() || v_.get_ref<const std::string&>().empty())
-            fail(path_, shown(v_), "text that is not empty");
-        return v_.get<std::string>();
+        if (!value_.is_string() || value_.get_ref<const std::string&>().empty())
+            fail(path_, shown(value_), "text that is not empty");
+        return value_.get<std::string>();
     }
     double number(double least, double most) const {
-        if (!v_.is_number() || !std::isfinite(v_.get<double>()) || v_.get<double>() < least ||
-            v_.get<double>() > most) {
+        if (!value_.is_number() || !std::isfinite(value_.get<double>()) || value_.get<double>() < least ||
+            value_.get<double>() > most) {
             std::ostringstream allowed;
             allowed << "a number from " << least << " to " << most;
-            fail(path_, shown(v_), allowed.str());
+            fail(path_, shown(value_), allowed.str());
         }
-        return v_.get<double>();
+        return value_.get<double>();
     }
     std::size_t whole(std::size_t least, std::size_t most) const {
         const double d = number(static_cast<double>(least), static_cast<double>(most));
-        if (d != std::floor(d)) fail(path_, shown(v_), "a whole number");
+        if (d != std::floor(d)) fail(path_, shown(value_), "a whole number");
         return static_cast<std::size_t>(d);
     }
     io::Address address() const {
         const auto a = io::parse_address(text());
-        if (!a) fail(path_, shown(v_), "an IPv4 address and port, such as 10.0.0.1:8080");
+        if (!a) fail(path_, shown(value_), "an IPv4 address and port, such as 10.0.0.1:8080");
         return *a;
     }
     void each(const std::function<void(const Node&)>& f) const {
-        if (!v_.is_array()) fail(path_, shown(v_), "a list");
+        if (!value_.is_array()) fail(path_, shown(value_), "a list");
         std::size_t i = 0;
-        for (const auto& e : v_) f(Node{e, path_ + "[" + std::to_string(i++) + "]"});
+        for (const auto& e : value_) f(Node{e, path_ + "[" + std::to_string(i++) + "]"});
+    }
+    bool has(const char* key) const {
+        return value_.is_object() && value_.contains(key) && !value_[key].is_null();
     }
-    bool has(const char* key) const { return v_.is_object() && v_.contains(key) && !v_[key].is_null(); }
 
   private:
     std::string join(const char* key) const { return path_.empty() ? key : path_ + "." + key; }
-    const Json& v_;
+    const Json& value_;
     std::string path_;
 };
 
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -21,7 +21,7 @@
     r.status = status;
     return r;
 }
-HttpResponse later(int status = 503) {
+HttpResponse retry_later(int status = 503) {
     HttpResponse r;
     r.status = status;
     r.retry_after_s = 1;
@@ -45,10 +45,10 @@
 }  // namespace
 
 std::optional<std::string> UsersApi::impossible(const core::Job& j) const {
-    const auto team = n_.settings.teams.find(j.team);
-    if (team == n_.settings.teams.end()) return "unknown team";
+    const auto team = node_.settings.teams.find(j.team);
+    if (team == node_.settings.teams.end()) return "unknown team";
     bool fits = false;
-    for (const auto& [name, t] : *n_.catalog) {
+    for (const auto& [name, t] : *node_.catalog) {
         if (!j.allows_type(name) || !j.need.fits_in(t.size)) continue;
         for (const auto& z : t.zones) fits = fits || !j.zone || *j.zone == z;
     }
@@ -65,7 +65,7 @@
     std::uint32_t running = 0;
     for (const auto& [i, c] : e.chunks) {
         for (const auto& [task, a] : c.open) {
-            const auto v = core::view_attempt(n_.picture, e.job.id, task, a);
+            const auto v = core::view_attempt(node_.picture, e.job.id, task, a);
             running += v.fate == core::Fate::live && v.state == core::TaskState::running ? 1 : 0;
         }
     }
@@ -80,7 +80,7 @@
         into = it->second;
         co_return Lookup::found;
     }
-    auto task = n_.state.get(keys::final(id), deadline);
+    auto task = node_.state.get(keys::final(id), deadline);
     const GetResult r = co_await std::move(task);
     if (!r.ok) co_return Lookup::failed;
     if (!r.value) co_return Lookup::absent;
@@ -99,7 +99,7 @@
 
 Task<HttpResponse> UsersApi::submit(io::HttpRequest request) {
     if (request.body_too_large) co_return plain(400);
-    if (submitting_ >= kSubmitting) co_return later(429);
+    if (submitting_ >= kSubmitting) co_return retry_later(429);
     const Counted counted{submitting_};
     const auto v = wire::decode(request.body);
     if (!v) co_return plain(400);
@@ -113,87 +113,87 @@
         co_return with_body(400, {{"error", "invalid field " + *wrong}});
     }
     core::Job job = std::get<core::Job>(std::move(parsed));
-    if (!n_.catalog || !n_.synced) co_return later();
+    if (!node_.catalog || !node_.synced) co_return retry_later();
     if (const auto why = impossible(job)) co_return with_body(422, {{"error", *why}});
     if (job.types) {
         // Types that the cloud does not have add nothing, and a long list would pass the value limit.
-        std::erase_if(*job.types, [&](const std::string& t) { return !n_.catalog->contains(t); });
+        std::erase_if(*job.types, [&](const std::string& t) { return !node_.catalog->contains(t); });
     }
-    if (!n_.state.reachable(steady_now())) co_return later();
+    if (!node_.state.reachable(steady_now())) co_return retry_later();
     const Micros deadline = steady_now() + Micros{2'500'000};
     const std::string id = job.id;
-    if (n_.ledger.find(id) == nullptr) {
+    if (node_.ledger.find(id) == nullptr) {
         job.accepted = io::wall_now();
         wire::Transaction t;
         t.conditions = {{keys::job(id), 0}, {keys::final(id), 0}};
         t.writes.push_back({keys::job(id), wire::job_record(job), 0});
-        auto task = n_.state.commit(std::move(t), deadline, true);
+        auto task = node_.state.commit(std::move(t), deadline, true);
         const CommitResult r = co_await std::move(task);
         if (r.outcome == Commit::done) {
             replica_.committed({keys::job(id), wire::job_record(job), r.revision});
-            n_.work.notify_all();
-            n_.fleet_work.notify_all();
+            node_.work.notify_all();
+            node_.fleet_work.notify_all();
             co_return with_body(201, wire::job_answer(id, wire::JobStatus::queued));
         }
         // Whether an unanswered commit was carried out, the user's next try will find out.
-        if (r.outcome != Commit::conflict) co_return later();
+        if (r.outcome != Commit::conflict) co_return retry_later();
         auto reach = replica_.reach(r.revision, deadline);
         const bool reached = co_await std::move(reach);
-        if (!reached) co_return later();
+        if (!reached) co_return retry_later();
     } else {
         auto index = replica_.caught_up(deadline);
         const bool current = co_await std::move(index);
-        if (!current) co_return later();
+        if (!current) co_return retry_later();
     }
-    if (const auto* e = n_.ledger.find(id)) co_return describe(*e, 200);
+    if (const auto* e = node_.ledger.find(id)) co_return describe(*e, 200);
     Final f{};
     auto lookup = find_final(id, f, deadline);
     const Lookup found = co_await std::move(lookup);
-    if (found != Lookup::found) co_return later();
+    if (found != Lookup::found) co_return retry_later();
     co_return with_body(200, wire::job_answer(id, f.status, f.done, 0));
 }
 
 Task<HttpResponse> UsersApi::poll(std::string id) {
     if (!wire::is_job_id(id)) co_return plain(404);
-    if (polling_ >= kPolling) co_return later(429);
+    if (polling_ >= kPolling) co_return retry_later(429);
     const Counted counted{polling_};
-    if (!n_.synced) co_return later();
+    if (!node_.synced) co_return retry_later();
     Final f{};
     if (const auto it = finals_.find(id); it != finals_.end()) {
         co_return with_body(200, wire::job_answer(id, it->second.status, it->second.done, 0));
     }
-    if (!n_.state.reachable(steady_now())) co_return later();
+    if (!node_.state.reachable(steady_now())) co_return retry_later();
     const Micros deadline = steady_now() + Micros{1'700'000};
     auto index = replica_.caught_up(deadline);
     const bool current = co_await std::move(index);
-    if (!current) co_return later();
-    if (const auto* e = n_.ledger.find(id)) co_return describe(*e, 200);
+    if (!current) co_return retry_later();
+    if (const auto* e = node_.ledger.find(id)) co_return describe(*e, 200);
     auto lookup = find_final(id, f, deadline);
     const Lookup found = co_await std::move(lookup);
-    if (found == Lookup::failed) co_return later();
+    if (found == Lookup::failed) co_return retry_later();
     if (found == Lookup::absent) co_return plain(404);
     co_return with_body(200, wire::job_answer(id, f.status, f.done, 0));
 }
 
 Task<HttpResponse> UsersApi::cancel(std::string id) {
     if (!wire::is_job_id(id)) co_return plain(404);
-    if (submitting_ >= kSubmitting) co_return later(429);
+    if (submitting_ >= kSubmitting) co_return retry_later(429);
     const Counted counted{submitting_};
-    if (!n_.synced || !n_.state.reachable(steady_now())) co_return later();
+    if (!node_.synced || !node_.state.reachable(steady_now())) co_return retry_later();
     const Micros deadline = steady_now() + Micros{2'500'000};
     for (int attempt = 0; attempt < 4; ++attempt) {
-        const core::JobEntry* e = n_.ledger.find(id);
+        const core::JobEntry* e = node_.ledger.find(id);
         if (e == nullptr) {
             auto index = replica_.caught_up(deadline);
             const bool current = co_await std::move(index);
-            if (!current) co_return later();
-            e = n_.ledger.find(id);
+            if (!current) co_return retry_later();
+            e = node_.ledger.find(id);
         }
         if (e == nullptr) {
             Final f{};
             auto lookup = find_final(id, f, deadline);
             const Lookup found = co_await std::move(lookup);
-            if (found == Lookup::failed) co_return later();
+            if (found == Lookup::failed) co_return retry_later();
             if (found == Lookup::absent) co_return plain(404);
             co_return with_body(200, wire::job_answer(id, f.status));
         }
@@ -205,34 +205,34 @@
         const core::Stamp stamp = e->stamp;
         t.conditions = {{keys::job(id), stamp}};
         t.writes.push_back({keys::job(id), wire::job_record(job), 0});
-        auto task = n_.state.commit(std::move(t), deadline, true);
+        auto task = node_.state.commit(std::move(t), deadline, true);
         const CommitResult r = co_await std::move(task);
         if (r.outcome == Commit::done) {
             replica_.committed({keys::job(id), wire::job_record(job), r.revision});
-            n_.work.notify_all();
+            node_.work.notify_all();
             co_return with_body(200, wire::job_answer(id, wire::JobStatus::cancelled));
         }
-        if (r.outcome != Commit::conflict) co_return later();
+        if (r.outcome != Commit::conflict) co_return retry_later();
         // It was finished or cancelled elsewhere in between.
         auto reach = replica_.reach_conflict({{keys::job(id), stamp}}, r, deadline);
         const bool reached = co_await std::move(reach);
-        if (!reached) co_return later();
+        if (!reached) co_return retry_later();
     }
-    co_return later();
+    co_return retry_later();
 }
 
 HttpResponse UsersApi::health() const {
     const Micros now = steady_now();
-    if (!n_.synced || !n_.catalog) return plain(503);
-    if (!n_.state.reachable(now)) {
+    if (!node_.synced || !node_.catalog) return plain(503);
+    if (!node_.state.reachable(now)) {
         // With every node in the same trouble, leaving the load balancer's list only makes the return slower.
         // A node that hears none of the others either is more likely the only one in trouble: its users were
         // sent to it for as long as it lasted.
-        bool alone = !n_.peers.empty();
-        for (const auto& [label, p] : n_.peers) {
-            if (!n_.peer_fresh(label, now)) continue;
+        bool alone = !node_.peers.empty();
+        for (const auto& [label, p] : node_.peers) {
+            if (!node_.peer_fresh(label, now)) continue;
             alone = false;
-            if (p.beat.state_ok) return plain(503);
+            if (p.heartbeat.state_ok) return plain(503);
         }
         if (alone) return plain(503);
     }
--- a/src/service/users_api.hpp
+++ b/src/service/users_api.hpp
@@ -12,7 +12,7 @@
 
 class UsersApi {
   public:
-    UsersApi(Node& n, Replica& r) : n_(n), replica_(r) {}
+    UsersApi(Node& n, Replica& r) : node_(n), replica_(r) {}
     io::Task<io::HttpResponse> submit(io::HttpRequest request);
     io::Task<io::HttpResponse> poll(std::string id);
     io::Task<io::HttpResponse> cancel(std::string id);
@@ -28,7 +28,7 @@
     io::HttpResponse describe(const core::JobEntry& e, int status) const;
     std::optional<std::string> impossible(const core::Job& j) const;
 
-    Node& n_;
+    Node& node_;
     Replica& replica_;
     std::size_t submitting_ = 0;
     std::size_t polling_ = 0;
--- a/src/service/workers.cpp
+++ b/src/service/workers.cpp
@@ -29,21 +29,21 @@
     }
     // Not entitled, or behind the epoch that the worker has heard of: an answer would keep the worker here
     // while its lease runs out.
-    if (!n_.acting() || r->token > n_.epoch.number) {
+    if (!node_.acting() || r->token > node_.epoch.number) {
         out.status = 421;
         // In turn: when a node falls silent, whoever comes first in the list would bear all its workers.
-        const auto homes = n_.other_homes();
+        const auto homes = node_.other_homes();
         out.body = wire::encode(wire::home_answer(homes.empty() ? "" : homes[turn_++ % homes.size()]));
         co_return out;
     }
     if (const std::string home = better_home(); !home.empty()) {
-        n_.moved_away(r->machine);
+        node_.moved_away(r->machine);
         out.status = 421;
         out.body = wire::encode(wire::home_answer(home));
         co_return out;
     }
-    n_.take_report(std::move(*r), true);
-    out.body = wire::encode(wire::report_answer(n_.epoch.number));
+    node_.take_report(std::move(*r), true);
+    out.body = wire::encode(wire::report_answer(node_.epoch.number));
     co_return out;
 }
 
@@ -54,9 +54,9 @@
     if (now < next_move_) return {};
     if (now - counted_ > Micros{1'000'000}) {
         counted_ = now;
-        here_ = n_.workers_here();
+        here_ = node_.workers_here();
         loads_.clear();
-        for (const auto& label : n_.other_homes()) loads_[label] = n_.peers.at(label).beat.workers;
+        for (const auto& label : node_.other_homes()) loads_[label] = node_.peers.at(label).heartbeat.workers;
     }
     std::size_t all = here_;
     for (const auto& [label, load] : loads_) all += load;
@@ -73,17 +73,17 @@
 
 void Workers::order(const std::string& machine, std::uint64_t session, core::Order o) {
     Outbox& box = outboxes_[machine];
-    if (box.session != session || box.epoch != n_.epoch.number) {
+    if (box.session != session || box.epoch != node_.epoch.number) {
         // Orders die with the session they were meant for, and with the epoch they were given in.
         for (const auto& old : box.orders) settle_copy(old, box.epoch);
         box.orders.clear();
         box.session = session;
-        box.epoch = n_.epoch.number;
+        box.epoch = node_.epoch.number;
     }
     if (box.orders.size() >= kOutboxOrders) return;  // repeated later by whoever wants it
     if (o.kind == core::OrderKind::start) {
         Sent& sent = unanswered_[{o.job, o.task, o.attempt}];
-        if (sent.epoch != n_.epoch.number) sent = {n_.epoch.number, 0};
+        if (sent.epoch != node_.epoch.number) sent = {node_.epoch.number, 0};
         ++sent.copies;
     }
     box.orders.push_back(std::move(o));
@@ -95,7 +95,7 @@
 
 bool Workers::start_pending(const std::string& job, std::uint32_t task, std::uint64_t attempt) const {
     const auto it = unanswered_.find({job, task, attempt});
-    return it != unanswered_.end() && it->second.epoch == n_.epoch.number;
+    return it != unanswered_.end() && it->second.epoch == node_.epoch.number;
 }
 
 void Workers::settle_copy(const core::Order& o, std::uint64_t epoch) {
@@ -113,18 +113,18 @@
         spdlog::warn("event=malformed_order_answer count={}", malformed_);
         return;
     }
-    n_.take_report(std::move(*r), false);
+    node_.take_report(std::move(*r), false);
 }
 
 Task<void> Workers::send(std::string machine) {
     // Orders of the same turn go out together.
-    co_await n_.loop.yield();
+    co_await node_.loop.yield();
     while (true) {
         auto box = outboxes_.find(machine);
         if (box == outboxes_.end()) co_return;
-        const core::MachineView* view = n_.picture.find(machine);
+        const core::MachineView* view = node_.picture.find(machine);
         const auto address = view == nullptr ? std::nullopt : io::parse_address(view->last.address);
-        if (box->second.orders.empty() || !address || !n_.acting()) {
+        if (box->second.orders.empty() || !address || !node_.acting()) {
             // Never sent, so nothing of them can be under way.
             for (const auto& o : box->second.orders) settle_copy(o, box->second.epoch);
             outboxes_.erase(box);
@@ -133,9 +133,9 @@
         const auto orders = std::exchange(box->second.orders, {});
         const std::uint64_t session = box->second.session;
         const std::uint64_t epoch = box->second.epoch;
-        auto task = n_.workers_http.send(*address, "POST", "/orders",
-                                         wire::encode(wire::orders_request(epoch, session, orders)),
-                                         steady_now() + kOrderTime, 256 * 1024);
+        auto task = node_.workers_http.send(*address, "POST", "/orders",
+                                            wire::encode(wire::orders_request(epoch, session, orders)),
+                                            steady_now() + kOrderTime, 256 * 1024);
         const io::HttpReply reply = co_await std::move(task);
         const bool answered = reply.status == 200 || reply.status == 409;
         if (answered || reply.never_sent) {
@@ -144,14 +144,14 @@
         }
         if (answered) {
             absorb_answer(reply.body);
-            n_.work.notify_all();
+            node_.work.notify_all();
         } else {
-            n_.note_unanswered(machine);
+            node_.note_unanswered(machine);
             spdlog::debug("event=order_unanswered machine={} status={} orders={}", machine, reply.status,
                           orders.size());
         }
         if (unanswered_.size() > 4096) {
-            std::erase_if(unanswered_, [&](const auto& u) { return u.second.epoch != n_.epoch.number; });
+            std::erase_if(unanswered_, [&](const auto& u) { return u.second.epoch != node_.epoch.number; });
         }
     }
 }
@@ -161,47 +161,47 @@
         std::size_t& n;
         ~Count() { --n; }
     } count{asking_};
-    const core::MachineView* view = n_.picture.find(machine);
+    const core::MachineView* view = node_.picture.find(machine);
     const auto address = view == nullptr ? std::nullopt : io::parse_address(view->last.address);
     if (!address) {
-        n_.suspects.erase(machine);
+        node_.suspects.erase(machine);
         co_return;
     }
     auto task =
-        n_.workers_http.send(*address, "GET", "/status", "", steady_now() + Micros{1'500'000}, 256 * 1024);
+        node_.workers_http.send(*address, "GET", "/status", "", steady_now() + Micros{1'500'000}, 256 * 1024);
     const io::HttpReply reply = co_await std::move(task);
     if (reply.status == 200) {
         absorb_answer(reply.body);
-        n_.suspects.erase(machine);
-        n_.work.notify_all();
+        node_.suspects.erase(machine);
+        node_.work.notify_all();
         co_return;
     }
-    const auto it = n_.suspects.find(machine);
-    if (it == n_.suspects.end()) co_return;
+    const auto it = node_.suspects.find(machine);
+    if (it == node_.suspects.end()) co_return;
     it->second.pause = std::min(it->second.pause * 2, Micros{8'000'000});
-    n_.note_unanswered(machine);
+    node_.note_unanswered(machine);
 }
 
 Task<void> Workers::keep_reach() {
     // Asks machines whose reports alone prove nothing: new ones, silent ones that are back, and those that
     // report but did not answer an order. One that only sends would otherwise be given tasks for ever.
     while (true) {
-        co_await n_.loop.sleep(Micros{200'000});
-        if (!n_.synced) continue;
+        co_await node_.loop.sleep(Micros{200'000});
+        if (!node_.synced) continue;
         const Micros now = steady_now();
-        std::erase_if(n_.suspects, [&](const auto& s) { return n_.picture.find(s.first) == nullptr; });
+        std::erase_if(node_.suspects, [&](const auto& s) { return node_.picture.find(s.first) == nullptr; });
         // Those that wait longest go first: by name, some dozens of dead machines at the list's head took all
         // the turns, and live ones behind them stayed unused. So many at a time as lets a whole fleet answer
         // within seconds of a takeover.
         std::vector<std::pair<Micros, std::string>> due;
-        for (const auto& [machine, s] : n_.suspects) {
+        for (const auto& [machine, s] : node_.suspects) {
             if (s.next <= now) due.emplace_back(s.next, machine);
         }
-        const std::size_t most = std::max(kAsking, n_.picture.machines().size() / 8);
+        const std::size_t most = std::max(kAsking, node_.picture.machines().size() / 8);
         const std::size_t number = std::min(due.size(), most - std::min(most, asking_));
         std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(number), due.end());
         for (std::size_t i = 0; i < number; ++i) {
-            Node::Suspect& s = n_.suspects[due[i].second];
+            Node::Suspect& s = node_.suspects[due[i].second];
             s.next = now + Micros{2'000'000};
             s.asked = now;
             ++asking_;
@@ -213,16 +213,16 @@
 Task<void> Workers::watch_reach() {
     // A node that is cut from the workers only cannot do an owner's part: it says so, and the leader takes
     // its teams away. Reports may all go to other nodes, so silence alone is no sign: it asks some workers.
-    const Micros quiet{static_cast<std::int64_t>(n_.settings.report_s * 2e6) + 1'500'000};
+    const Micros quiet{static_cast<std::int64_t>(node_.settings.report_s * 2e6) + 1'500'000};
     std::size_t turn = 0;
     while (true) {
-        co_await n_.loop.sleep(Micros{1'000'000});
-        if (steady_now() - n_.last_worker_contact < quiet) {
-            n_.fit = true;
+        co_await node_.loop.sleep(Micros{1'000'000});
+        if (steady_now() - node_.last_worker_contact < quiet) {
+            node_.fit = true;
             continue;
         }
         std::vector<io::Address> others;
-        for (const auto& [id, view] : n_.picture.machines()) {
+        for (const auto& [id, view] : node_.picture.machines()) {
             // Only machines that other nodes hear.
             if (steady_now() - view.changed > quiet) continue;
             if (const auto a = io::parse_address(view.last.address)) others.push_back(*a);
@@ -232,15 +232,15 @@
         for (std::size_t i = 0; i < 2 && !reached; ++i) {
             const io::Address a = others[turn++ % others.size()];
             auto task =
-                n_.workers_http.send(a, "GET", "/status", "", steady_now() + Micros{900'000}, 256 * 1024);
+                node_.workers_http.send(a, "GET", "/status", "", steady_now() + Micros{900'000}, 256 * 1024);
             const io::HttpReply reply = co_await std::move(task);
             if (reply.status == 200) {
                 reached = true;
                 absorb_answer(reply.body);
             }
         }
-        if (reached != n_.fit) spdlog::warn("event=worker_reach ok={}", reached);
-        n_.fit = reached;
+        if (reached != node_.fit) spdlog::warn("event=worker_reach ok={}", reached);
+        node_.fit = reached;
     }
 }
 
--- a/src/service/workers.hpp
+++ b/src/service/workers.hpp
@@ -10,7 +10,7 @@
 
 class Workers {
   public:
-    Workers(Node& n, io::Scope& scope) : n_(n), scope_(scope) {}
+    Workers(Node& n, io::Scope& scope) : node_(n), scope_(scope) {}
 
     io::Task<io::HttpResponse> hello(std::string body);
     // Queues an order; a routine for that machine sends it. Only ever for attempts that are recorded.
@@ -35,7 +35,7 @@
     io::Task<void> send(std::string machine);
     void absorb_answer(const std::string& body);
 
-    Node& n_;
+    Node& node_;
     io::Scope& scope_;
     std::map<std::string, Outbox> outboxes_;
     // Copies of a start that were sent under an epoch and not answered. Each of them may still arrive: one
--- a/src/wire/mesh_codec.cpp
+++ b/src/wire/mesh_codec.cpp
@@ -7,7 +7,15 @@
 
 namespace {
 
-enum class Kind : std::uint8_t { hello = 1, beat = 2, report = 3, ask = 4, promise = 5, hold = 6, alive = 7 };
+enum class Kind : std::uint8_t {
+    hello = 1,
+    heartbeat = 2,
+    report = 3,
+    ask = 4,
+    promise = 5,
+    hold = 6,
+    alive = 7
+};
 
 class Writer {
   public:
@@ -96,7 +104,7 @@
     w.u(m.version);
     w.s(m.label);
 }
-void put(Writer& w, const MeshBeat& m) {
+void put(Writer& w, const MeshHeartbeat& m) {
     w.s(m.label);
     w.u(m.grant);
     w.i(m.wall_us);
@@ -177,8 +185,8 @@
     w.b(m.waiting);
 }
 
-MeshBeat get_beat(Reader& r) {
-    MeshBeat m;
+MeshHeartbeat get_beat(Reader& r) {
+    MeshHeartbeat m;
     m.label = r.s();
     m.grant = r.u();
     m.wall_us = r.i();
@@ -250,7 +258,7 @@
             out = m;
             break;
         }
-        case Kind::beat:
+        case Kind::heartbeat:
             out = get_beat(r);
             break;
         case Kind::report:
@@ -302,8 +310,8 @@
 }  // namespace
 
 std::string encode_frame(const MeshMessage& m) {
-    static constexpr Kind kinds[] = {Kind::hello,   Kind::beat, Kind::report, Kind::ask,
-                                     Kind::promise, Kind::hold, Kind::alive};
+    static constexpr Kind kinds[] = {Kind::hello,   Kind::heartbeat, Kind::report, Kind::ask,
+                                     Kind::promise, Kind::hold,      Kind::alive};
     Writer w{kinds[m.index()]};
     std::visit([&](const auto& v) { put(w, v); }, m);
     return w.frame();
--- a/src/wire/mesh_codec.hpp
+++ b/src/wire/mesh_codec.hpp
@@ -24,9 +24,9 @@
 };
 
 // Sent about twice a second. `answered` tells when this node last answered each worker: others may count a
-// worker's lease as ended only by such tables from every member. The first beat of a connection has the whole
-// table, later ones what has changed since: frames of one connection arrive all and in order.
-struct MeshBeat {
+// worker's lease as ended only by such tables from every member. The first heartbeat of a connection has the
+// whole table, later ones what has changed since: frames of one connection arrive all and in order.
+struct MeshHeartbeat {
     std::string label;
     std::uint64_t grant = 0;
     std::int64_t wall_us = 0;  // when the table was made
@@ -37,11 +37,11 @@
     std::vector<std::pair<std::string, std::int64_t>> answered;  // machine -> time of day
     std::vector<std::string> released;                           // machines that the cloud confirmed as gone
     std::vector<std::string> candidates;                         // leader only: the drain planner's set
-    std::vector<std::string> hears;                              // nodes whose beats reach this one
+    std::vector<std::string> hears;                              // nodes whose heartbeats reach this one
     std::uint64_t demand = 0;                                    // store writes wanted a second, in tenths
     std::uint64_t workers = 0;                                   // workers that report to this node
     std::vector<std::string> unanswered;  // machines that report but do not answer this node
-    friend bool operator==(const MeshBeat&, const MeshBeat&) = default;
+    friend bool operator==(const MeshHeartbeat&, const MeshHeartbeat&) = default;
 };
 
 struct MeshReport {
@@ -74,7 +74,7 @@
     friend bool operator==(const MeshPromise&, const MeshPromise&) = default;
 };
 
-// Room that an owner is clearing for one of its tasks: the others leave it alone for so long.
+// FreeCapacity that an owner is clearing for one of its tasks: the others leave it alone for so long.
 struct MeshHold {
     std::string machine;
     std::string job;
@@ -85,7 +85,8 @@
     friend bool operator==(const MeshHold&, const MeshHold&) = default;
 };
 
-using MeshMessage = std::variant<MeshHello, MeshBeat, MeshReport, MeshAsk, MeshPromise, MeshHold, MeshAlive>;
+using MeshMessage =
+    std::variant<MeshHello, MeshHeartbeat, MeshReport, MeshAsk, MeshPromise, MeshHold, MeshAlive>;
 
 std::string encode_frame(const MeshMessage& m);
 
--- a/tests/epoch_test.cpp
+++ b/tests/epoch_test.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 using core::EpochInput;
-using core::Mandate;
 using core::Micros;
+using core::NodeLease;
 using test::holds;
 
 constexpr Micros kLife{2'000'000};
@@ -49,8 +49,8 @@
     });
 }
 
-TEST(Mandate, EndsBeforeTheGrantCouldAndNeedsEveryPromise) {
-    Mandate m({"b", "c"});
+TEST(NodeLease, EndsBeforeTheGrantCouldAndNeedsEveryPromise) {
+    NodeLease m({"b", "c"});
     EXPECT_FALSE(m.alive(Micros{0}));
     m.renewed(Micros{10'000'000}, kLife);
     EXPECT_LT(m.until(), Micros{12'000'000});
@@ -68,7 +68,7 @@
 }
 
 // Nodes, a store that they may each lose, messages that come late, repeated or never, crashes and restarts,
-// with the rules that the membership duty follows. No life may hold a mandate once an epoch without it is
+// with the rules that the membership duty follows. No life may hold a node lease once an epoch without it is
 // written, and the token never falls.
 class World {
   public:
@@ -110,7 +110,7 @@
   private:
     struct Life {
         core::Member self;
-        std::unique_ptr<Mandate> mandate;
+        std::unique_ptr<NodeLease> node_lease;
         Micros started{};
         Micros asked{};
         Micros failing{};  // 0: the last call was answered
@@ -151,7 +151,7 @@
         for (int k = 0; k < 3; ++k) {
             if (k != i) others.push_back(label(k));
         }
-        l.mandate = std::make_unique<Mandate>(others);
+        l.node_lease = std::make_unique<NodeLease>(others);
         l.started = now_;
         lives_[i] = std::move(l);
     }
@@ -219,18 +219,18 @@
             if (luck == 0) return;  // no answer: it begins again with another grant
             if (apply(put)) {
                 l.self.grant = grant;
-                l.mandate->renewed(now_, kLife);
+                l.node_lease->renewed(now_, kLife);
             }
         } else if (reached) {
             const auto g = grants_.find(l.self.grant);
             if (g == grants_.end()) {
                 l.self.grant = 0;
-                l.mandate->lost();
+                l.node_lease->lost();
                 return;
             }
             g->second = now_ + kLife;
-            l.mandate->renewed(now_, kLife);
-        } else if (l.mandate->alive(now_)) {
+            l.node_lease->renewed(now_, kLife);
+        } else if (l.node_lease->alive(now_)) {
             const Micros asked = now_;
             for (int k = 0; k < 3; ++k) {
                 if (k == i || cut_[i] || cut_[k]) continue;
@@ -240,10 +240,10 @@
                                  !(p.unresolved && *p.unresolved == epoch_.stamp);
                 if (!may) continue;
                 p.promised[l.self.label] = now_ + kPromise;
-                l.mandate->promise(label(k), asked, kPromise, now_);
+                l.node_lease->promise(label(k), asked, kPromise, now_);
             }
         }
-        if (!reached || l.self.grant == 0 || !l.mandate->alive(now_)) return;
+        if (!reached || l.self.grant == 0 || !l.node_lease->alive(now_)) return;
         EpochInput in;
         in.current = epoch_;
         in.nodes = nodes_;
@@ -270,7 +270,7 @@
         last_token_ = epoch_.number;
         if (epoch_.number == 0) return;
         for (const auto& l : lives_) {
-            if (l.self.grant == 0 || !l.mandate->alive(now_)) continue;
+            if (l.self.grant == 0 || !l.node_lease->alive(now_)) continue;
             // The others may remove whoever's key is gone, so nobody acts without.
             const auto key = nodes_.find(l.self.label);
             RC_ASSERT(key != nodes_.end() && key->second.grant == l.self.grant);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -3,7 +3,7 @@
 // counted.
 #include <random>
 
-#include "core/silence.hpp"
+#include "core/failure_detection.hpp"
 #include "support.hpp"
 
 namespace hatchwind {
--- a/tests/mesh_codec_test.cpp
+++ b/tests/mesh_codec_test.cpp
@@ -7,8 +7,8 @@
 
 using test::holds;
 
-wire::MeshBeat draw_beat() {
-    wire::MeshBeat b;
+wire::MeshHeartbeat draw_beat() {
+    wire::MeshHeartbeat b;
     b.label = *rc::gen::arbitrary<std::string>();
     b.grant = *rc::gen::arbitrary<std::uint64_t>();
     b.wall_us = *rc::gen::inRange<std::int64_t>(0, 2'000'000'000'000'000);
@@ -27,9 +27,10 @@
 
 TEST(MeshCodec, FramesSurviveAnySplit) {
     holds("split anywhere", [] {
-        const auto beat = draw_beat();
+        const auto heartbeat = draw_beat();
         const wire::MeshHold hold{"n-1", "req-1", 3, 2.0, 0, 4.4, 4'000'000};
-        const std::string bytes = wire::encode_frame(wire::MeshHello{1, "node"}) + wire::encode_frame(beat) +
+        const std::string bytes = wire::encode_frame(wire::MeshHello{1, "node"}) +
+                                  wire::encode_frame(heartbeat) +
                                   wire::encode_frame(wire::MeshAsk{9, 1'500'000}) +
                                   wire::encode_frame(wire::MeshPromise{9, true}) + wire::encode_frame(hold);
         const auto cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
@@ -41,7 +42,7 @@
         }
         RC_ASSERT(!r.broken());
         RC_ASSERT(got.size() == 5U);
-        RC_ASSERT(std::get<wire::MeshBeat>(got[1]) == beat);
+        RC_ASSERT(std::get<wire::MeshHeartbeat>(got[1]) == heartbeat);
         RC_ASSERT((std::get<wire::MeshAsk>(got[2]) == wire::MeshAsk{9, 1'500'000}));
         RC_ASSERT((std::get<wire::MeshPromise>(got[3]) == wire::MeshPromise{9, true}));
         RC_ASSERT(std::get<wire::MeshHold>(got[4]) == hold);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -24,8 +24,8 @@
 TEST(Placement, KeepsEveryRuleOnAnyCluster) {
     holds("quota, room, type, zones, kind", [] {
         const Cluster c = test::draw_cluster();
-        core::Room room = c.room();
-        const core::Room before = c.room();
+        core::FreeCapacity room = c.room();
+        const core::FreeCapacity before = c.room();
         const auto out = core::place(input(c), room);
         std::map<std::string, core::Amount> use;
         std::map<std::string, core::Amount> free;
@@ -68,7 +68,7 @@
     a.silent_after = Micros{10'000'000};
     a.draining = {"n-1"};
     a.candidates = {"n-2"};
-    core::Room room = c.room(&a);
+    core::FreeCapacity room = c.room(&a);
     const auto out = core::place(input(c), room);
     ASSERT_EQ(out.starts.size(), 2U);
     EXPECT_EQ(out.starts[0].attempt.machine, "n-3");
@@ -82,7 +82,7 @@
         c.picture.apply(test::report(id, "small", "a", true), c.now, c.now);
     c.picture.note_image("n-3", "img", 1, 20, c.now);
     c.ledger.put_job(test::job("req-1", "x", 1, 1), 1);
-    core::Room room = c.room();
+    core::FreeCapacity room = c.room();
     const auto out = core::place(input(c), room);
     ASSERT_EQ(out.starts.size(), 1U);
     EXPECT_EQ(out.starts[0].attempt.machine, "n-3");
@@ -121,7 +121,7 @@
     in.own_teams = {"x"};
     in.most_starts = 100;
     const auto starts = [&] {
-        core::Room room = c.room();
+        core::FreeCapacity room = c.room();
         return core::place(in, room).starts.size();
     };
     EXPECT_EQ(starts(), 16U);
@@ -170,7 +170,7 @@
     service.kind = core::JobKind::service;
     service.priority = core::Priority::production;
     c.ledger.put_job(service, ++stamp);
-    core::Room room = c.room();
+    core::FreeCapacity room = c.room();
     const auto out = core::place(input(c), room);
     ASSERT_EQ(out.stops.size(), 2U);  // it may be stopped, if there is nothing else
     EXPECT_EQ(out.stops[0].job, "req-2");
@@ -208,7 +208,7 @@
     auto gang = test::job("req-1", "x", 3, 4);
     gang.kind = core::JobKind::gang;
     c.ledger.put_job(gang, 1);
-    core::Room room = c.room();
+    core::FreeCapacity room = c.room();
     EXPECT_TRUE(core::place(input(c), room).starts.empty());
     c.picture.apply(test::report("n-3", "small", "b"), c.now, c.now);
     room = c.room();
@@ -250,7 +250,7 @@
     service.spot = false;
     c.ledger.put_job(service, 3);
     auto in = input(c);
-    core::Room room = c.room();
+    core::FreeCapacity room = c.room();
     auto out = core::place(in, room);
     ASSERT_EQ(out.stops.size(), 1U);
     EXPECT_TRUE(out.starts.empty());
@@ -279,7 +279,7 @@
     c.teams["y"] = {"y", 4, 24, 0, 0};
     occupy(c);
     c.ledger.put_job(test::job("req-2", "y", 2, 4), 3);
-    core::Room room = c.room();
+    core::FreeCapacity room = c.room();
     EXPECT_TRUE(core::place(input(c), room).stops.empty());
     c.ledger.put_job(test::job("req-2", "y", 1, 4), 4);
     room = c.room();
@@ -311,7 +311,7 @@
         chunk.stamp = 3;
         chunk.open[0] = {1, "n-1", 1};
         c.ledger.put_chunk(running, 0, chunk);
-        core::Room room = c.room();
+        core::FreeCapacity room = c.room();
         EXPECT_EQ(core::place(input(c), room).stops.size(), higher_runs ? 1U : 0U);
     }
 }
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -1,4 +1,4 @@
-#include "core/silence.hpp"
+#include "core/failure_detection.hpp"
 #include "support.hpp"
 
 namespace hatchwind {
@@ -28,18 +28,18 @@
 }
 
 // A room that remembers the last one's sums is the room that is built from nothing, whatever has changed.
-TEST(Room, WithMemoryIsTheSameAsWithout) {
+TEST(FreeCapacity, WithMemoryIsTheSameAsWithout) {
     holds("same room", [] {
         Cluster c = test::draw_cluster();
-        core::RoomMemory memory;
+        core::FreeCapacityCache memory;
         core::Availability plain;
         plain.now = c.now;
         plain.silent_after = core::Micros{10'000'000};
         core::Stamp stamp = 1000;
         std::uint64_t tick = 1;
         for (int round = 0; round < 6; ++round) {
-            const auto a = core::Room::build(c.picture, c.ledger, c.types, plain);
-            const auto b = core::Room::build(c.picture, c.ledger, c.types, plain, &memory);
+            const auto a = core::FreeCapacity::build(c.picture, c.ledger, c.types, plain);
+            const auto b = core::FreeCapacity::build(c.picture, c.ledger, c.types, plain, &memory);
             RC_ASSERT(a.machines().size() == b.machines().size());
             for (std::size_t i = 0; i < a.machines().size(); ++i) {
                 RC_ASSERT(a.machines()[i].id == b.machines()[i].id);
@@ -88,7 +88,7 @@
         core::DrainSettings s;
         s.fleet_minimum = static_cast<std::size_t>(*rc::gen::inRange(0, 3));
         core::DrainState state;
-        const core::Room room = c.room();
+        const core::FreeCapacity room = c.room();
         (void)core::plan_drains(s, drain_input(c), room, state);
         RC_TAG(state.candidate_since.size());
         RC_ASSERT(room.machines().size() - state.candidate_since.size() >=
@@ -122,7 +122,7 @@
             }
         }
         // The caller's room is untouched: trials leave no trace.
-        const core::Room again = c.room();
+        const core::FreeCapacity again = c.room();
         for (const auto& m : room.machines())
             RC_ASSERT(std::abs(m.free.cpus - again.find(m.id)->free.cpus) < 1e-9);
     });
@@ -131,7 +131,7 @@
 TEST(DrainPlanner, RevertedTrialsLeaveNoTrace) {
     holds("take, give, revert", [] {
         const Cluster c = test::draw_cluster();
-        core::Room room = c.room();
+        core::FreeCapacity room = c.room();
         std::vector<double> before;
         for (const auto& m : room.machines()) before.push_back(m.free.cpus);
         const auto mark = room.mark();
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -106,7 +106,7 @@
     in.own_teams = {"x"};
     in.now = in.wall = c.now;
     const auto starts = [&] {
-        core::Room room = c.room();
+        core::FreeCapacity room = c.room();
         return core::place(in, room).starts.size();
     };
     // Nobody here knows this machine: its report may be a minute old, and the machine gone.
@@ -282,7 +282,7 @@
             in.now = in.wall = c.now;
             in.reservations = reservations;
             in.most_stops = 0;
-            core::Room room = c.room();
+            core::FreeCapacity room = c.room();
             auto out = core::place(in, room);
             reservations = std::move(out.reservations);
             for (const auto& s : out.starts) {
@@ -301,7 +301,7 @@
                     std::string why;
                     for (const auto& [ref, r] : reservations)
                         why += " hold " + ref.job + "/" + std::to_string(ref.task) + "@" + r.machine;
-                    const core::Room now_free = c.room();
+                    const core::FreeCapacity now_free = c.room();
                     for (const auto& m : now_free.machines())
                         why += " free " + m.id + "=" + std::to_string(m.free.cpus);
                     RC_FAIL(id + " has not begun: " + std::to_string(j.need.cpus) + " CPUs x " +
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -762,7 +762,7 @@
     });
 }
 
-// The node hears workers only. It falls silent when its mandate ends, its teams get another owner, its
+// The node hears workers only. It falls silent when its node lease ends, its teams get another owner, its
 // workers move on within their leases, and it comes back without help.
 TEST(Service, ANodeWithNothingButItsWorkersFallsSilentAndComesBack) {
     Site site{3, 0};
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -74,11 +74,11 @@
     core::Picture picture;
     core::Micros now{100'000'000};
 
-    core::Room room(const core::Availability* a = nullptr) const {
+    core::FreeCapacity room(const core::Availability* a = nullptr) const {
         core::Availability plain;
         plain.now = now;
         plain.silent_after = core::Micros{10'000'000};
-        return core::Room::build(picture, ledger, types, a == nullptr ? plain : *a);
+        return core::FreeCapacity::build(picture, ledger, types, a == nullptr ? plain : *a);
     }
 };
 
