A confirmed cancel reaches whoever keeps the tasks alive; a lease counts from its own session

Cause of ran_cancelled in the gap: the store refused the leading controller alone, another one confirmed the cancel, and in the outage after it the promises of the others kept the leader acting without the cancel ever reaching it. Cause of ran_twice with mute machines: the lease was counted from the last answered report although a later session, learned from a direct command, had a lease of its own.

Change: the node that confirms a cancel tells its peers first, heartbeats repeat it until the peer's replica has it, and a promise carries every cancel after the asker's revision; a node promises only once its replica holds its own key. A lease is counted from the first news of its session too, and machines whose reports nobody answered take nothing.

--- a/src/core/free_capacity.cpp
+++ b/src/core/free_capacity.cpp
@@ -42,7 +42,8 @@
         m.spot = view.last.spot;
         m.session = view.last.session;
         m.free = type->second.size;
-        m.usable = view.confirmed && !view.notice_until && a.now - view.changed < a.silent_after;
+        m.usable = view.confirmed && !view.notice_until && a.now - view.changed < a.silent_after &&
+                   view.heard >= a.heard_since;
         while (recorded != l.by_machine().end() && recorded->first < id) ++recorded;
         if (recorded != l.by_machine().end() && recorded->first == id) {
             m.held = &recorded->second.tasks;
--- a/src/core/free_capacity.hpp
+++ b/src/core/free_capacity.hpp
@@ -37,6 +37,8 @@
 struct Availability {
     Micros now{};           // steady
     Micros silent_after{};  // a machine without news for this long takes nothing new
+    // Time of day: a machine of which no report was answered since then takes nothing new either.
+    Micros heard_since = Micros::min();
     std::set<std::string> draining;
     std::set<std::string> candidates;
     std::map<std::string, Micros> banned_until;  // steady: machines on which tasks failed or were refused
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -59,6 +59,14 @@
     }
 }
 
+void Ledger::put_cancel(const std::string& job, Stamp revision, Micros cancelled_at) {
+    const auto it = jobs_.find(job);
+    if (it == jobs_.end() || it->second.stamp >= revision) return;
+    it->second.job.cancelled = true;
+    it->second.job.cancelled_at = cancelled_at;
+    it->second.stamp = revision;
+}
+
 void Ledger::put_chunk(const std::string& job, std::uint32_t index, Chunk chunk) {
     const auto it = jobs_.find(job);
     if (it == jobs_.end()) {
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -79,6 +79,9 @@
 
     // Each takes a record as the store has it; older stamps than the known one change nothing.
     void put_job(Job job, Stamp stamp);
+    // A cancellation that another controller has told ahead of the store's own news. Does nothing for a job
+    // that is not known, or known at that revision or a later one.
+    void put_cancel(const std::string& job, Stamp revision, Micros cancelled_at);
     void put_chunk(const std::string& job, std::uint32_t index, Chunk chunk);
     // A page as the store has it: what it does not have any more is gone.
     void put_page(const AttemptPageKey& key, Stamp stamp, std::map<ChunkKey, Chunk> chunks);
--- /dev/null
+++ b/src/service/cancel_enforcement.hpp
@@ -0,0 +1,47 @@
+// Sees to it that the tasks of cancelled jobs end in time when the job's owner cannot.
+//
+// An owner may be unable to see the state service, to act at all, or to reach a machine for longer than a
+// cancellation may take. Stopping a cancelled task needs no record, so every node that knows the cancellation
+// and may act stops what it sees running; and giving a machine back to the cloud ends its tasks for certain,
+// so any node may do that for one which stays silent, in an outage of the state service too.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "service/leader.hpp"
+#include "service/node.hpp"
+#include "service/workers.hpp"
+
+namespace hatchwind::service {
+
+class CancelEnforcement {
+  public:
+    CancelEnforcement(Node& node, Workers& workers, Leader& leader)
+        : node_(node), workers_(workers), leader_(leader) {}
+    // Runs for as long as the node lives.
+    io::Task<void> run();
+
+  private:
+    // One task of a cancelled job that is not known to have ended.
+    struct Remaining {
+        core::TaskRef task;
+        core::Attempt attempt;
+        core::Fate fate = core::Fate::silent;
+        io::Micros cancelled_for{0};
+        bool owned_here = false;
+    };
+    std::vector<Remaining> remaining() const;
+    void stop_listed(const std::vector<Remaining>& tasks);
+    // Machines which have to be released now, so that their tasks end in time.
+    std::vector<std::string> overdue_machines(const std::vector<Remaining>& tasks);
+    io::Micros share_of_limit(double share) const;
+
+    Node& node_;
+    Workers& workers_;
+    Leader& leader_;
+    std::map<core::TaskRef, io::Micros> stopped_at_;  // steady: when this node last stopped a task of others
+};
+
+}  // namespace hatchwind::service
--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -364,17 +364,6 @@
             go.insert(go.end(), silent.begin(), silent.end());
             silent_released_.insert(silent_released_.end(), silent.size(), now);
         }
-        // Cancelled tasks on machines that do not answer must be gone in time.
-        const Micros wall = io::wall_now();
-        for (const auto& [id, e] : node_.ledger.jobs()) {
-            if (!e.job.cancelled || wall - e.job.cancelled_at < seconds(node_.settings.cancel_s * 0.5))
-                continue;
-            for (const auto& [i, c] : e.chunks) {
-                for (const auto& [task, a] : c.open) {
-                    if (!node_.picture.released(a.machine)) go.push_back(a.machine);
-                }
-            }
-        }
         std::sort(go.begin(), go.end());
         go.erase(std::unique(go.begin(), go.end()), go.end());
         if (go.size() > 100) go.resize(100);
--- a/src/service/leader.hpp
+++ b/src/service/leader.hpp
@@ -21,6 +21,8 @@
     io::Task<void> rent();
     io::Task<void> drain();
     io::Task<void> give_back();
+    // Gives machines back to the cloud; true once it has confirmed that they are gone. Any node may call it.
+    io::Task<bool> release(std::vector<std::string> machines);
 
   private:
     struct Known {
@@ -30,7 +32,6 @@
         bool listed = false;
     };
     io::Task<io::HttpReply> cloud(std::string method, std::string target, std::string body);
-    io::Task<bool> release(std::vector<std::string> machines);
     io::Task<bool> mark(std::set<std::string> machines);
     bool overdue(const Known& k, io::Micros now) const;
     void new_reign();
--- a/src/service/membership.cpp
+++ b/src/service/membership.cpp
@@ -68,6 +68,7 @@
             wire::MeshAsk ask;
             ask.number = ++ask_number_;
             ask.life_us = static_cast<std::uint64_t>(node_.tunables.promise_life.count());
+            ask.revision = node_.revision;
             asked_[ask.number] = steady_now();
             if (asked_.size() > 16) asked_.erase(asked_.begin());
             ask_all(ask);
@@ -78,11 +79,15 @@
 bool Membership::may_promise() const {
     // Never with working access to the store, nor while an epoch of ours may still be written, nor in a life
     // that has not put its own key: a write by an earlier life of this node could still be under way.
-    return node_.self.grant != 0 && !node_.state.reachable(steady_now()) && !writing_ &&
+    // A promise vouches for every cancellation that this node has confirmed to users, in earlier lives too:
+    // the replica has them all once it holds this life's own key.
+    const bool complete = node_.synced && node_.revision >= key_stamp_;
+    return complete && node_.self.grant != 0 && !node_.state.reachable(steady_now()) && !writing_ &&
            !(unresolved_ && *unresolved_ == node_.epoch.stamp);
 }
 
 void Membership::promise_received(const std::string& from, const wire::MeshPromise& p) {
+    node_.take_cancels(p.cancels);
     const auto it = asked_.find(p.number);
     if (!p.given || it == asked_.end()) return;
     node_.node_lease.promise(from, it->second, node_.tunables.promise_life, steady_now());
--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -2,7 +2,9 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <array>
+#include <iterator>
 
 namespace hatchwind::service {
 
@@ -27,6 +29,9 @@
     node_.announce_hold = [this](const wire::MeshHold& h) {
         for (auto& [label, link] : links_) push(*link, h);
     };
+    node_.announce_cancel = [this](const wire::MeshCancel& cancel) {
+        for (auto& [label, link] : links_) push(*link, cancel);
+    };
     membership_.ask_all = [this](const wire::MeshAsk& ask) {
         for (auto& [label, link] : links_) push(*link, ask);
     };
@@ -178,9 +183,11 @@
         for (const auto& machine : heartbeat->unanswered) {
             if (node_.picture.find(machine) != nullptr) node_.suspects.try_emplace(machine);
         }
+        node_.take_cancels(heartbeat->cancels);
         p.heartbeat = std::move(*heartbeat);
         p.heartbeat.answered.clear();
         p.heartbeat.released.clear();
+        p.heartbeat.cancels.clear();
         p.received = steady_now();
         share_writes();
     } else if (auto* report = std::get_if<wire::MeshReport>(&m)) {
@@ -188,13 +195,16 @@
     } else if (const auto* alive = std::get_if<wire::MeshAlive>(&m)) {
         node_.take_alive(*alive);
     } else if (auto* ask = std::get_if<wire::MeshAsk>(&m)) {
-        wire::MeshPromise answer{ask->number, membership_.may_promise()};
+        wire::MeshPromise answer{ask->number, membership_.may_promise(), {}};
         if (answer.given) {
+            answer.cancels = node_.cancels_after(ask->revision);
             membership_.promised_to(from, steady_now() + Micros{static_cast<std::int64_t>(ask->life_us)});
         }
         push(*links_.at(from), answer);
     } else if (auto* promise = std::get_if<wire::MeshPromise>(&m)) {
         membership_.promise_received(from, *promise);
+    } else if (const auto* cancel = std::get_if<wire::MeshCancel>(&m)) {
+        node_.take_cancels(cancel->cancels);
     } else if (auto* hold = std::get_if<wire::MeshHold>(&m)) {
         if (node_.foreign_holds.size() > std::max<std::size_t>(512, node_.picture.machines().size())) return;
         const Micros until =
@@ -213,6 +223,8 @@
         b.epoch = node_.epoch.number;
         b.state_ok = node_.state.reachable(steady_now());
         b.fit = node_.fit;
+        b.acting = node_.acting();
+        b.revision = node_.revision;
         b.wall_us = io::wall_now().count();
         for (const auto& [label, link] : links_) {
             if (node_.peer_fresh(label, steady_now())) b.hears.push_back(label);
@@ -226,8 +238,14 @@
         }
         if (node_.leads()) b.candidates.assign(node_.candidates.begin(), node_.candidates.end());
         share_writes();
+        const auto cancels = node_.cancels_after(0);
         for (auto& [label, link] : links_) {
             if (!link->connected) continue;
+            // Repeated until the peer's replica has them: a notice may be lost with its connection.
+            b.cancels.clear();
+            const core::Stamp peer_revision = node_.peers[label].heartbeat.revision;
+            std::copy_if(cancels.begin(), cancels.end(), std::back_inserter(b.cancels),
+                         [&](const wire::CancelNotice& notice) { return notice.revision > peer_revision; });
             b.answered.clear();
             b.released.clear();
             for (const auto& [machine, at] : node_.answered_here) {
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -73,6 +73,7 @@
 }
 
 bool Node::absorb(core::WorkerReport r, Micros heard, bool answer, bool confirmed) {
+    note_session(r.machine, r.session);
     const core::MachineView* before = picture.find(r.machine);
     const bool known = before != nullptr;
     const auto old_content = known ? std::pair{before->last.session, before->content_tick}
@@ -181,6 +182,7 @@
     answered_here.erase(machine);
     answered_any.erase(machine);
     homed_.erase(machine);
+    sessions_.erase(machine);
     suspects.erase(machine);
     released_log.push_back(machine);
     ++released_count;
@@ -189,12 +191,47 @@
     fleet_work.notify_all();
 }
 
-bool Node::lease_over(const std::string& machine, Micros wall) const {
+std::vector<wire::CancelNotice> Node::cancels_after(core::Stamp after) const {
+    std::vector<wire::CancelNotice> cancels;
+    for (const auto& [id, entry] : ledger.jobs()) {
+        if (!entry.job.cancelled || entry.stamp <= after) continue;
+        cancels.push_back({id, entry.stamp, entry.job.cancelled_at.count()});
+    }
+    return cancels;
+}
+
+void Node::take_cancels(const std::vector<wire::CancelNotice>& cancels) {
+    bool news = false;
+    for (const auto& notice : cancels) {
+        // What the replica has reached includes it, and perhaps the job's end: a late notice must not bring
+        // an ended job back.
+        if (notice.revision <= revision) continue;
+        const core::JobEntry* entry = ledger.find(notice.job);
+        if (entry == nullptr || entry->stamp >= notice.revision) continue;
+        spdlog::debug("event=cancel_told job={} revision={}", notice.job, notice.revision);
+        ledger.put_cancel(notice.job, notice.revision, Micros{notice.cancelled_us});
+        news = true;
+    }
+    if (news) work.notify_all();
+}
+
+void Node::note_session(const std::string& machine, std::uint64_t session) {
+    SessionNews& known = sessions_[machine];
+    if (known.first_known.count() != 0 && session <= known.session) return;
+    known = {session, io::wall_now()};
+}
+
+bool Node::lease_over(const std::string& machine, std::uint64_t session, Micros wall) {
     // The latest moment at which anyone may have answered: this life, what others told, and for lives that
     // are members no longer, the time at which the epoch that removed them was written.
     Micros last = std::max(epoch.removed_at, synced_wall);
     if (const auto it = answered_any.find(machine); it != answered_any.end())
         last = std::max(it->second, epoch.removed_at);
+    // A session begins with a lease that no controller gave, and it may have been learned from an answer to a
+    // direct command: counted from the last answered report alone, tasks of a worker that reaches nobody were
+    // started a second time while they ran (LeaseOfASession tests).
+    note_session(machine, session);
+    last = std::max(last, sessions_.at(machine).first_known);
     const double margin_s = 1.0 + settings.lease_s * 0.002 + settings.skew_ms * 0.004;
     const Micros end = last + Micros{static_cast<std::int64_t>((settings.lease_s + margin_s) * 1e6)};
     if (wall < end) return false;
@@ -213,6 +250,8 @@
     core::Availability a;
     a.now = io::steady_now();
     a.silent_after = Micros{static_cast<std::int64_t>((settings.report_s * 2.5 + 1.5) * 1e6)};
+    // A worker whose reports reach nobody keeps no lease: its tasks would die with each of its sessions.
+    a.heard_since = io::wall_now() - a.silent_after;
     a.draining = draining;
     a.candidates = candidates;
     // One that reports but does not answer gets nothing new: its lease runs out on its own side.
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -77,8 +77,9 @@
     io::Signal work;        // something changed that placing may care about
     io::Signal fleet_work;  // likewise for the leader's renting
     std::function<void(const core::MachineView&, io::Micros heard, bool whole)>
-        forward;                                               // to the other nodes
-    std::function<void(const wire::MeshHold&)> announce_hold;  // likewise
+        forward;                                                   // to the other nodes
+    std::function<void(const wire::MeshHold&)> announce_hold;      // likewise
+    std::function<void(const wire::MeshCancel&)> announce_cancel;  // likewise
 
     // May this life answer workers, send orders and place?
     bool acting() const;
@@ -91,6 +92,10 @@
     void take_report(core::WorkerReport r, bool answered);
     void take_forward(wire::MeshReport m);
     void take_alive(const wire::MeshAlive& m);
+    // Cancellations that were committed after `revision`, of jobs whose tasks are not known to be gone.
+    std::vector<wire::CancelNotice> cancels_after(core::Stamp revision) const;
+    // Takes in what another node knows to be committed; what this node's replica has already changes nothing.
+    void take_cancels(const std::vector<wire::CancelNotice>& cancels);
     // A request to the machine stayed without an answer.
     void note_unanswered(const std::string& machine);
     // After so much silence a report may be a late copy of one sent before it.
@@ -100,8 +105,10 @@
     // Members that can do a node's part for workers, this one apart.
     std::vector<std::string> other_homes() const;
     void note_released(const std::string& machine);
-    // Certain that the machine's lease has ended, wherever it reported.
-    bool lease_over(const std::string& machine, io::Micros wall) const;
+    // Notes that a worker session exists. It began before this moment, and with a lease that nobody granted.
+    void note_session(const std::string& machine, std::uint64_t session);
+    // Certain that the lease of that session has ended, wherever the machine reported. `wall`: time of day.
+    bool lease_over(const std::string& machine, std::uint64_t session, io::Micros wall);
     core::Availability availability() const;
 
   private:
@@ -110,6 +117,12 @@
     // Workers that this node was the last to answer: steady, when. A count of those answered of late would
     // hold the ones that have just been sent elsewhere, and send on as many again.
     std::unordered_map<std::string, io::Micros> homed_;
+    struct SessionNews {
+        std::uint64_t session = 0;
+        io::Micros first_known{0};  // time of day
+    };
+    // The newest session of each machine that a report or a record has named.
+    std::unordered_map<std::string, SessionNews> sessions_;
     bool absorb(core::WorkerReport r, io::Micros heard, bool answer, bool confirmed);
 };
 
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -99,12 +99,12 @@
     workers_.order(a.machine, a.session, {core::OrderKind::stop, job, task, a.number, grace_s});
 }
 
-Owner::Place Owner::look_at(const std::string& machine, const core::MachineView* view, Micros now) const {
+Owner::Place Owner::look_at(const core::MachineView* view, Micros now) const {
     // Whatever its last report said of its tasks: when many machines fall silent at once nobody releases
     // them, and what ran on them has ended with their leases. One that reports has a lease.
     const Micros since{static_cast<std::int64_t>(std::max(3.0, node_.settings.report_s * 1.5) * 1e6)};
     const bool quiet = view == nullptr || now - view->changed > since;
-    return {view, quiet && node_.lease_over(machine, io::wall_now()), now};
+    return {view, quiet, now};
 }
 
 bool Owner::settle_attempt(Staged& s, const core::JobEntry& e, std::uint32_t task, const core::Attempt& a,
@@ -114,7 +114,8 @@
     const std::uint32_t chunk = task / core::kChunkTasks;
     const auto v = view == nullptr ? core::view_attempt(node_.picture, e.job.id, task, a)
                                    : core::view_attempt(*view, e.job.id, task, a.number, a.session);
-    if (at.over && v.fate != Fate::exited && v.fate != Fate::gone) {
+    const bool ended = v.fate == Fate::exited || v.fate == Fate::gone;
+    if (at.quiet && !ended && node_.lease_over(a.machine, a.session, io::wall_now())) {
         spdlog::info("event=lease_over job={} task={} machine={}", e.job.id, task, a.machine);
         close(s, e, chunk, task, a, false);
         return false;
@@ -192,14 +193,14 @@
         while (view != views_end && view->first < id) ++view;
         while (old != settled_.cend() && old->machine < id) ++old;
         const bool known = view != views_end && view->first == id;
-        const Place at = look_at(id, known ? &view->second : nullptr, time);
+        const Place at = look_at(known ? &view->second : nullptr, time);
         Settled now{id, 0, 0, recorded.version, false};
         if (known) {
             now.session = view->second.last.session;
             now.content_tick = view->second.content_tick;
             now.calm = old != settled_.cend() && old->machine == id && old->calm &&
                        old->session == now.session && old->content_tick == now.content_tick &&
-                       old->version == now.version && !at.over && !view->second.notice_until &&
+                       old->version == now.version && !at.quiet && !view->second.notice_until &&
                        !node_.draining.contains(id);
         }
         if (!now.calm) {
@@ -227,8 +228,7 @@
         if (!e.job.cancelled || e.open == 0 || !node_.owns(e.job.team)) continue;
         for (const auto& [i, c] : e.chunks) {
             for (const auto& [task, a] : c.open)
-                settle_attempt(s, e, task, a,
-                               look_at(a.machine, node_.picture.find(a.machine), steady_now()));
+                settle_attempt(s, e, task, a, look_at(node_.picture.find(a.machine), steady_now()));
         }
     }
 }
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -59,10 +59,10 @@
     // What is the same for all attempts on one machine.
     struct Place {
         const core::MachineView* view = nullptr;  // null: not in the picture
-        bool over = false;                        // its lease has certainly ended
+        bool quiet = false;                       // without news for so long that its leases may have ended
         io::Micros now{0};                        // steady
     };
-    Place look_at(const std::string& machine, const core::MachineView* view, io::Micros now) const;
+    Place look_at(const core::MachineView* view, io::Micros now) const;
     // True when there is nothing to do for it before its machine, its record or its job changes.
     bool settle_attempt(Staged& s, const core::JobEntry& e, std::uint32_t task, const core::Attempt& a,
                         const Place& at);
--- a/src/service/replica.cpp
+++ b/src/service/replica.cpp
@@ -102,12 +102,15 @@
         if (!page->more || all.empty()) break;
         after = all.back().key;
     }
+    // The pages may have been read before a cancellation that a peer has told since.
+    const std::vector<wire::CancelNotice> told = node_.cancels_after(first);
     node_.ledger.clear();
     node_.nodes.clear();
     node_.draining.clear();
     node_.draining_stamp = 0;
     for (const auto& i : all) apply(i);
     node_.revision = first;
+    node_.take_cancels(told);
     node_.synced = true;
     node_.synced_wall = io::wall_now();
     node_.advanced.notify_all();
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -32,6 +32,7 @@
       users_(node_, replica_),
       owner_(node_, replica_, workers_),
       leader_(node_, replica_),
+      cancel_enforcement_(node_, workers_, leader_),
       server_(loop, node_.settings.api, limits(node_.settings),
               [this](HttpRequest r) { return handle(std::move(r)); }) {}
 
@@ -49,6 +50,7 @@
     scope_.spawn(leader_.rent());
     scope_.spawn(leader_.drain());
     scope_.spawn(leader_.give_back());
+    scope_.spawn(cancel_enforcement_.run());
 }
 
 Task<HttpResponse> Service::handle(HttpRequest request) {
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "io/http.hpp"
+#include "service/cancel_enforcement.hpp"
 #include "service/leader.hpp"
 #include "service/membership.hpp"
 #include "service/mesh.hpp"
@@ -30,6 +31,7 @@
     UsersApi users_;
     Owner owner_;
     Leader leader_;
+    CancelEnforcement cancel_enforcement_;
     io::HttpServer server_;
 };
 
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -75,6 +75,14 @@
     return with_body(status, wire::job_answer(e.job.id, s, e.done, running));
 }
 
+HttpResponse UsersApi::confirm_cancel(const std::string& id) {
+    const core::JobEntry* entry = node_.ledger.find(id);
+    if (entry != nullptr && entry->job.cancelled && node_.announce_cancel) {
+        node_.announce_cancel({{{id, entry->stamp, entry->job.cancelled_at.count()}}});
+    }
+    return with_body(200, wire::job_answer(id, wire::JobStatus::cancelled));
+}
+
 Task<UsersApi::Lookup> UsersApi::find_final(std::string id, Final& into, Micros deadline) {
     if (const auto it = finals_.find(id); it != finals_.end()) {
         into = it->second;
@@ -197,7 +205,7 @@
             if (found == Lookup::absent) co_return plain(404);
             co_return with_body(200, wire::job_answer(id, f.status));
         }
-        if (e->job.cancelled) co_return with_body(200, wire::job_answer(id, wire::JobStatus::cancelled));
+        if (e->job.cancelled) co_return confirm_cancel(id);
         core::Job job = e->job;
         job.cancelled = true;
         job.cancelled_at = io::wall_now();
@@ -210,7 +218,7 @@
         if (r.outcome == Commit::done) {
             replica_.committed({keys::job(id), wire::job_record(job), r.revision});
             node_.work.notify_all();
-            co_return with_body(200, wire::job_answer(id, wire::JobStatus::cancelled));
+            co_return confirm_cancel(id);
         }
         if (r.outcome != Commit::conflict) co_return retry_later();
         // It was finished or cancelled elsewhere in between.
--- a/src/service/users_api.hpp
+++ b/src/service/users_api.hpp
@@ -25,6 +25,9 @@
     };
     enum class Lookup : std::uint8_t { found, absent, failed };
     io::Task<Lookup> find_final(std::string id, Final& into, io::Micros deadline);
+    // The answer that a job is cancelled. The other nodes are told first: one of them may keep the job's
+    // tasks alive without sight of the state service.
+    io::HttpResponse confirm_cancel(const std::string& id);
     io::HttpResponse describe(const core::JobEntry& e, int status) const;
     std::optional<std::string> impossible(const core::Job& j) const;
 
--- a/src/service/workers.cpp
+++ b/src/service/workers.cpp
@@ -42,11 +42,23 @@
         out.body = wire::encode(wire::home_answer(home));
         co_return out;
     }
+    const auto stops = stops_for_cancelled(*r);
     node_.take_report(std::move(*r), true);
-    out.body = wire::encode(wire::report_answer(node_.epoch.number));
+    out.body = wire::encode(wire::report_answer(node_.epoch.number, stops));
     co_return out;
 }
 
+std::vector<core::Order> Workers::stops_for_cancelled(const core::WorkerReport& report) const {
+    std::vector<core::Order> stops;
+    for (const auto& task : report.tasks) {
+        if (task.state == core::TaskState::exited) continue;
+        const core::JobEntry* entry = node_.ledger.find(task.job);
+        if (entry == nullptr || !entry->job.cancelled) continue;
+        stops.push_back({core::OrderKind::stop, task.job, task.task, task.attempt, 0});
+    }
+    return stops;
+}
+
 std::string Workers::better_home() {
     // Workers stay where they are answered, so after a restart or a cut one node would bear the fleet's
     // reports for good. A few a second move; the rest never notice.
--- a/src/service/workers.hpp
+++ b/src/service/workers.hpp
@@ -33,6 +33,9 @@
     };
     using AttemptKey = std::tuple<std::string, std::uint32_t, std::uint64_t>;
     io::Task<void> send(std::string machine);
+    // Whoever renews a worker's lease stops its cancelled tasks: their owner may be out of reach. Stops need
+    // no record, and unlike starts they do no harm when they are repeated or late.
+    std::vector<core::Order> stops_for_cancelled(const core::WorkerReport& report) const;
     void absorb_answer(const std::string& body);
 
     Node& node_;
--- a/src/wire/mesh_codec.cpp
+++ b/src/wire/mesh_codec.cpp
@@ -14,7 +14,8 @@
     ask = 4,
     promise = 5,
     hold = 6,
-    alive = 7
+    alive = 7,
+    cancel = 8,
 };
 
 class Writer {
@@ -91,6 +92,9 @@
         if (n > in_.size() - at_) ok_ = false;
         return ok_ ? n : 0;
     }
+    // A count at the end of a message whose sender may be of an earlier version, which ends before it.
+    std::uint64_t optional_count() { return at_ == in_.size() ? 0 : count(); }
+    std::uint64_t optional_u() { return at_ == in_.size() ? 0 : u(); }
     // Later versions may add fields at the end, so bytes left over are no error.
     bool ok() const { return ok_; }
 
@@ -100,6 +104,15 @@
     bool ok_ = true;
 };
 
+void put(Writer& w, const std::vector<CancelNotice>& cancels) {
+    w.u(cancels.size());
+    for (const auto& notice : cancels) {
+        w.s(notice.job);
+        w.u(notice.revision);
+        w.i(notice.cancelled_us);
+    }
+}
+void put(Writer& w, const MeshCancel& m) { put(w, m.cancels); }
 void put(Writer& w, const MeshHello& m) {
     w.u(m.version);
     w.s(m.label);
@@ -111,7 +124,7 @@
     w.u(m.epoch);
     w.b(m.state_ok);
     w.b(m.fit);
-    w.b(m.resigned);
+    w.b(m.acting);
     w.u(m.answered.size());
     for (const auto& [machine, at] : m.answered) {
         w.s(machine);
@@ -127,6 +140,8 @@
     w.u(m.workers);
     w.u(m.unanswered.size());
     for (const auto& a : m.unanswered) w.s(a);
+    w.u(m.revision);
+    put(w, m.cancels);
 }
 void put(Writer& w, const MeshReport& m) {
     const auto& r = m.report;
@@ -168,10 +183,12 @@
 void put(Writer& w, const MeshAsk& m) {
     w.u(m.number);
     w.u(m.life_us);
+    w.u(m.revision);
 }
 void put(Writer& w, const MeshPromise& m) {
     w.u(m.number);
     w.b(m.given);
+    put(w, m.cancels);
 }
 
 void put(Writer& w, const MeshHold& m) {
@@ -185,7 +202,19 @@
     w.b(m.waiting);
 }
 
-MeshHeartbeat get_beat(Reader& r) {
+std::vector<CancelNotice> get_cancels(Reader& r) {
+    std::vector<CancelNotice> cancels;
+    for (auto n = r.optional_count(); n > 0 && r.ok(); --n) {
+        CancelNotice notice;
+        notice.job = r.s();
+        notice.revision = r.u();
+        notice.cancelled_us = r.i();
+        cancels.push_back(std::move(notice));
+    }
+    return cancels;
+}
+
+MeshHeartbeat get_heartbeat(Reader& r) {
     MeshHeartbeat m;
     m.label = r.s();
     m.grant = r.u();
@@ -193,7 +222,7 @@
     m.epoch = r.u();
     m.state_ok = r.b();
     m.fit = r.b();
-    m.resigned = r.b();
+    m.acting = r.b();
     for (auto n = r.count(); n > 0 && r.ok(); --n) {
         auto machine = r.s();
         const auto age = r.i();
@@ -205,6 +234,8 @@
     m.demand = r.u();
     m.workers = r.u();
     for (auto n = r.count(); n > 0 && r.ok(); --n) m.unanswered.push_back(r.s());
+    m.revision = r.optional_u();
+    m.cancels = get_cancels(r);
     return m;
 }
 
@@ -259,7 +290,7 @@
             break;
         }
         case Kind::heartbeat:
-            out = get_beat(r);
+            out = get_heartbeat(r);
             break;
         case Kind::report:
             if (auto m = get_report(r)) out = std::move(*m);
@@ -268,6 +299,7 @@
             MeshAsk m;
             m.number = r.u();
             m.life_us = r.u();
+            m.revision = r.optional_u();
             out = m;
             break;
         }
@@ -275,6 +307,7 @@
             MeshPromise m;
             m.number = r.u();
             m.given = r.b();
+            m.cancels = get_cancels(r);
             out = m;
             break;
         }
@@ -302,6 +335,9 @@
             out = m;
             break;
         }
+        case Kind::cancel:
+            out = MeshCancel{get_cancels(r)};
+            break;
     }
     if (!r.ok()) return std::nullopt;
     return out;
@@ -311,7 +347,7 @@
 
 std::string encode_frame(const MeshMessage& m) {
     static constexpr Kind kinds[] = {Kind::hello,   Kind::heartbeat, Kind::report, Kind::ask,
-                                     Kind::promise, Kind::hold,      Kind::alive};
+                                     Kind::promise, Kind::hold,      Kind::alive,  Kind::cancel};
     Writer w{kinds[m.index()]};
     std::visit([&](const auto& v) { put(w, v); }, m);
     return w.frame();
--- a/src/wire/mesh_codec.hpp
+++ b/src/wire/mesh_codec.hpp
@@ -13,9 +13,18 @@
 
 namespace hatchwind::wire {
 
-constexpr std::uint64_t kMeshVersion = 2;
+constexpr std::uint64_t kMeshVersion = 3;
 constexpr std::size_t kMeshFrameBytes = 1U << 20U;
 
+// A cancellation that the state service has committed, as one controller tells it to another. It lets an
+// owner that cannot reach the state service stop the job's tasks in time.
+struct CancelNotice {
+    std::string job;
+    core::Stamp revision = 0;       // of the commit
+    std::int64_t cancelled_us = 0;  // time of day
+    friend bool operator==(const CancelNotice&, const CancelNotice&) = default;
+};
+
 // First on every connection.
 struct MeshHello {
     std::uint64_t version = kMeshVersion;
@@ -33,7 +42,7 @@
     std::uint64_t epoch = 0;
     bool state_ok = false;
     bool fit = true;
-    bool resigned = false;
+    bool acting = false;  // its node lease is alive and it is a member of the epoch that it knows
     std::vector<std::pair<std::string, std::int64_t>> answered;  // machine -> time of day
     std::vector<std::string> released;                           // machines that the cloud confirmed as gone
     std::vector<std::string> candidates;                         // leader only: the drain planner's set
@@ -41,6 +50,8 @@
     std::uint64_t demand = 0;                                    // store writes wanted a second, in tenths
     std::uint64_t workers = 0;                                   // workers that report to this node
     std::vector<std::string> unanswered;  // machines that report but do not answer this node
+    core::Stamp revision = 0;             // of the sender's replica
+    std::vector<CancelNotice> cancels;    // those that the receiver's replica may lack
     friend bool operator==(const MeshHeartbeat&, const MeshHeartbeat&) = default;
 };
 
@@ -62,15 +73,19 @@
     friend bool operator==(const MeshAlive&, const MeshAlive&) = default;
 };
 
+// Asks for a promise not to remove the sender from the members for a while.
 struct MeshAsk {
     std::uint64_t number = 0;
     std::uint64_t life_us = 0;
+    core::Stamp revision = 0;  // of the sender's replica
     friend bool operator==(const MeshAsk&, const MeshAsk&) = default;
 };
 
+// The answer to MeshAsk. The asker takes in the cancellations before it counts the promise.
 struct MeshPromise {
     std::uint64_t number = 0;
     bool given = false;
+    std::vector<CancelNotice> cancels;  // committed after the asker's revision
     friend bool operator==(const MeshPromise&, const MeshPromise&) = default;
 };
 
@@ -85,8 +100,14 @@
     friend bool operator==(const MeshHold&, const MeshHold&) = default;
 };
 
+// Cancellations told as soon as they are confirmed to a user; heartbeats repeat them.
+struct MeshCancel {
+    std::vector<CancelNotice> cancels;
+    friend bool operator==(const MeshCancel&, const MeshCancel&) = default;
+};
+
 using MeshMessage =
-    std::variant<MeshHello, MeshHeartbeat, MeshReport, MeshAsk, MeshPromise, MeshHold, MeshAlive>;
+    std::variant<MeshHello, MeshHeartbeat, MeshReport, MeshAsk, MeshPromise, MeshHold, MeshAlive, MeshCancel>;
 
 std::string encode_frame(const MeshMessage& m);
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -249,7 +249,9 @@
     return out;
 }
 
-Json report_answer(std::uint64_t token) { return {{"baton", token}, {"calls", Json::array()}}; }
+Json report_answer(std::uint64_t token, const std::vector<core::Order>& orders) {
+    return {{"baton", token}, {"calls", order_list(orders)}};
+}
 
 Json orders_request(std::uint64_t token, std::uint64_t session, const std::vector<core::Order>& orders) {
     return {{"baton", token}, {"stint", session}, {"calls", order_list(orders)}};
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -29,7 +29,7 @@
 // --- workers ---
 std::optional<core::WorkerReport> parse_report(const Json& v);
 Json order_list(const std::vector<core::Order>& orders);
-Json report_answer(std::uint64_t token);
+Json report_answer(std::uint64_t token, const std::vector<core::Order>& orders = {});
 Json orders_request(std::uint64_t token, std::uint64_t session, const std::vector<core::Order>& orders);
 Json home_answer(const std::string& label);
 std::string task_name(const std::string& job, std::uint32_t task);
