--- a/tests/mesh_codec_test.cpp
+++ b/tests/mesh_codec_test.cpp
@@ -7,7 +7,17 @@
 
 using test::holds;
 
-wire::MeshHeartbeat draw_beat() {
+std::vector<wire::CancelNotice> draw_cancels() {
+    std::vector<wire::CancelNotice> cancels;
+    const int count = *rc::gen::inRange(0, 4);
+    for (int i = 0; i < count; ++i) {
+        cancels.push_back({*rc::gen::arbitrary<std::string>(), *rc::gen::arbitrary<std::uint64_t>(),
+                           *rc::gen::arbitrary<std::int64_t>()});
+    }
+    return cancels;
+}
+
+wire::MeshHeartbeat draw_heartbeat() {
     wire::MeshHeartbeat b;
     b.label = *rc::gen::arbitrary<std::string>();
     b.grant = *rc::gen::arbitrary<std::uint64_t>();
@@ -15,6 +25,9 @@
     b.epoch = *rc::gen::arbitrary<std::uint64_t>();
     b.state_ok = *rc::gen::arbitrary<bool>();
     b.fit = *rc::gen::arbitrary<bool>();
+    b.acting = *rc::gen::arbitrary<bool>();
+    b.revision = *rc::gen::arbitrary<std::uint64_t>();
+    b.cancels = draw_cancels();
     const int n = *rc::gen::inRange(0, 5);
     for (int i = 0; i < n; ++i) {
         b.answered.emplace_back(*rc::gen::arbitrary<std::string>(),
@@ -27,12 +40,15 @@
 
 TEST(MeshCodec, FramesSurviveAnySplit) {
     holds("split anywhere", [] {
-        const auto heartbeat = draw_beat();
+        const auto heartbeat = draw_heartbeat();
+        const wire::MeshAsk ask{9, 1'500'000, *rc::gen::arbitrary<std::uint64_t>()};
+        const wire::MeshPromise promise{9, true, draw_cancels()};
+        const wire::MeshCancel cancel{draw_cancels()};
         const wire::MeshHold hold{"n-1", "req-1", 3, 2.0, 0, 4.4, 4'000'000};
         const std::string bytes = wire::encode_frame(wire::MeshHello{1, "node"}) +
-                                  wire::encode_frame(heartbeat) +
-                                  wire::encode_frame(wire::MeshAsk{9, 1'500'000}) +
-                                  wire::encode_frame(wire::MeshPromise{9, true}) + wire::encode_frame(hold);
+                                  wire::encode_frame(heartbeat) + wire::encode_frame(ask) +
+                                  wire::encode_frame(promise) + wire::encode_frame(hold) +
+                                  wire::encode_frame(cancel);
         const auto cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
         wire::FrameReader r;
         std::vector<wire::MeshMessage> got;
@@ -41,11 +57,12 @@
             while (auto m = r.next()) got.push_back(std::move(*m));
         }
         RC_ASSERT(!r.broken());
-        RC_ASSERT(got.size() == 5U);
+        RC_ASSERT(got.size() == 6U);
         RC_ASSERT(std::get<wire::MeshHeartbeat>(got[1]) == heartbeat);
-        RC_ASSERT((std::get<wire::MeshAsk>(got[2]) == wire::MeshAsk{9, 1'500'000}));
-        RC_ASSERT((std::get<wire::MeshPromise>(got[3]) == wire::MeshPromise{9, true}));
+        RC_ASSERT(std::get<wire::MeshAsk>(got[2]) == ask);
+        RC_ASSERT(std::get<wire::MeshPromise>(got[3]) == promise);
         RC_ASSERT(std::get<wire::MeshHold>(got[4]) == hold);
+        RC_ASSERT(std::get<wire::MeshCancel>(got[5]) == cancel);
     });
 }
 
@@ -84,7 +101,7 @@
 
 TEST(MeshCodec, DamagedFramesNeverCrash) {
     holds("one changed byte", [] {
-        std::string bytes = wire::encode_frame(draw_beat());
+        std::string bytes = wire::encode_frame(draw_heartbeat());
         bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = static_cast<char>(*rc::gen::inRange(0, 256));
         wire::FrameReader r;
         r.add(bytes);
--- /dev/null
+++ b/tests/outage_cancel_test.cpp
@@ -0,0 +1,177 @@
+// Cancellations and leases where the state service, the leader and the workers fail together.
+#include "service/service.hpp"
+#include "site.hpp"
+#include "support.hpp"
+
+namespace hatchwind {
+namespace {
+
+using io::Micros;
+using io::Task;
+using test::Site;
+using wire::Json;
+
+service::Settings settings_with_lease(double lease_s) {
+    service::Settings settings;
+    settings.label = "n0";
+    settings.lease_s = lease_s;
+    settings.report_s = 1;
+    settings.memory_mb = 64;
+    settings.max_connections = 100;
+    settings.state_rps = 100;
+    settings.state_write_rps = 50;
+    return settings;
+}
+
+core::WorkerReport report_of_session(std::uint64_t session, std::uint64_t tick) {
+    core::WorkerReport report = test::report("n-1", "small", "a");
+    report.session = session;
+    report.tick = tick;
+    return report;
+}
+
+constexpr Micros kSecond{1'000'000};
+
+// The worker reaches nobody, and its later sessions are learned from answers to direct commands. Their leases
+// were taken for over with that of the last answered report, and tasks were started twice.
+TEST(LeaseOfASession, IsCountedFromTheFirstNewsOfThatSession) {
+    io::Loop loop;
+    const auto settings = settings_with_lease(10);
+    service::Node node(loop, settings, service::tune({}, settings));
+    node.take_report(report_of_session(1, 1), true);
+    const Micros now = io::wall_now();
+    node.answered_any["n-1"] = now - 30 * kSecond;  // nothing was answered since
+    node.take_report(report_of_session(2, 2), false);
+    EXPECT_FALSE(node.lease_over("n-1", 2, now + 9 * kSecond)) << "it may have begun just now";
+    EXPECT_TRUE(node.lease_over("n-1", 2, now + 13 * kSecond));
+}
+
+TEST(LeaseOfASession, KnownFromARecordOnlyIsCountedFromWhenTheRecordWasSeen) {
+    io::Loop loop;
+    const auto settings = settings_with_lease(10);
+    service::Node node(loop, settings, service::tune({}, settings));
+    const Micros now = io::wall_now();
+    node.answered_any["n-1"] = now - 30 * kSecond;
+    EXPECT_FALSE(node.lease_over("n-1", 5, now + 9 * kSecond));
+    EXPECT_TRUE(node.lease_over("n-1", 5, now + 13 * kSecond));
+}
+
+TEST(LeaseOfASession, LaterNewsOfItChangesNothing) {
+    io::Loop loop;
+    const auto settings = settings_with_lease(10);
+    service::Node node(loop, settings, service::tune({}, settings));
+    const Micros now = io::wall_now();
+    for (std::uint64_t tick = 1; tick < 4; ++tick) node.take_report(report_of_session(2, tick), false);
+    node.note_session("n-1", 1);
+    EXPECT_FALSE(node.lease_over("n-1", 2, now + 9 * kSecond));
+    EXPECT_TRUE(node.lease_over("n-1", 2, now + 13 * kSecond));
+}
+
+TEST(Placement, AMachineWhoseReportsNobodyAnswersTakesNothing) {
+    core::Picture picture;
+    core::Ledger ledger;
+    const core::Catalog catalog = test::catalog();
+    picture.apply(report_of_session(1, 1), kSecond, 50 * kSecond, true);
+    core::Availability availability;
+    availability.now = kSecond;
+    availability.silent_after = 5 * kSecond;
+    availability.heard_since = 45 * kSecond;
+    EXPECT_TRUE(core::FreeCapacity::build(picture, ledger, catalog, availability).machines().front().usable);
+    availability.heard_since = 55 * kSecond;
+    EXPECT_FALSE(core::FreeCapacity::build(picture, ledger, catalog, availability).machines().front().usable);
+}
+
+TEST(ToldCancels, ApplyOnceAndBringNothingBack) {
+    io::Loop loop;
+    const auto settings = settings_with_lease(10);
+    service::Node node(loop, settings, service::tune({}, settings));
+    node.ledger.put_job(test::job("req-1", "x", 1, 1), 10);
+    node.revision = 12;
+    node.take_cancels({{"req-1", 11, 5}});
+    EXPECT_FALSE(node.ledger.find("req-1")->job.cancelled)
+        << "the replica has come further, so it knows better";
+    node.take_cancels({{"req-1", 13, 5}, {"req-2", 14, 5}});
+    EXPECT_TRUE(node.ledger.find("req-1")->job.cancelled);
+    EXPECT_EQ(node.ledger.find("req-1")->stamp, 13U);
+    EXPECT_EQ(node.ledger.find("req-2"), nullptr);
+    EXPECT_EQ(node.cancels_after(12), (std::vector<wire::CancelNotice>{{"req-1", 13, 5}}));
+    EXPECT_TRUE(node.cancels_after(13).empty());
+}
+
+// What a story of the gap varies.
+struct Gap {
+    Micros before_cancel{100'000};  // from the refusal of the leader
+    Micros before_outage{50'000};   // from the confirmed cancel
+    bool canceller_ends = false;    // right after its answer
+    bool mesh_cut = false;          // between the leader and the others, with the refusal
+    bool machine_hangs = false;     // one with a task of the job, just before the cancel
+};
+
+// The state service fails the leading controller alone, another one confirms a cancel, and then the state
+// service is down for all, for longer than the cancel may take.
+void play_gap(const Gap& gap) {
+    Site site{3, 0};
+    site.world.lease_s = 4;
+    site.cancel_s = 7;
+    site.kill(1);  // the relayed node leads and owns
+    site.kill(2);
+    site.world.endless = {"req-1"};
+    site.play([gap](Site& s) -> Task<void> {
+        const std::function<bool()> led = [&] { return s.leader() == "n0"; };
+        auto leading = s.until(led);
+        co_await std::move(leading);
+        s.start(1);
+        s.start(2);
+        auto running = s.run("req-1", "x", "sweep", 4);
+        co_await std::move(running);
+        const std::function<bool()> joined = [&] {
+            return s.state.items.at("h/epoch").value["members"].size() == 3;
+        };
+        auto members = s.until(joined);
+        co_await std::move(members);
+        if (gap.mesh_cut) {
+            s.cut_off(true);
+        } else {
+            s.cut_store(true);
+        }
+        co_await s.loop.sleep(gap.before_cancel);
+        if (gap.machine_hangs) s.cloud.workers.at(s.world.running.begin()->second)->hung = true;
+        auto cancelling = s.call(1, "POST", "/api/jobs/req-1/cancel", nullptr);
+        const auto answer = co_await std::move(cancelling);
+        EXPECT_EQ(answer.first, 200);
+        EXPECT_EQ(answer.second["status"], "cancelled");
+        const Micros confirmed = io::steady_now();
+        if (gap.canceller_ends) s.kill(1);
+        co_await s.loop.sleep(gap.before_outage);
+        s.state.down = true;
+        const std::function<bool()> gone = [&] {
+            return s.world.running.empty() || io::steady_now() - confirmed > Micros{9'000'000};
+        };
+        auto ending = s.until(gone);
+        co_await std::move(ending);
+        EXPECT_LT(io::steady_now() - confirmed, Micros{7'000'000}) << "a task is left after cancel_s";
+        s.state.down = false;
+        if (gap.mesh_cut) s.cut_off(false);
+        s.cut_store(false);
+        if (gap.canceller_ends) s.start(1);
+        auto final = s.until_status("req-1", "cancelled");
+        co_await std::move(final);
+    });
+}
+
+TEST(OutageAfterCancel, TasksAreGoneWithinCancelTimeout) { play_gap({}); }
+TEST(OutageAfterCancel, TasksAreGoneWhenTheOutageComesASecondLater) {
+    play_gap({Micros{50'000}, Micros{900'000}, false, false, false});
+}
+TEST(OutageAfterCancel, TasksAreGoneWhenTheCancellerEndsAtOnce) {
+    play_gap({Micros{100'000}, Micros{50'000}, true, false, false});
+}
+TEST(OutageAfterCancel, TasksAreGoneWhenTheOwnerHearsNobody) {
+    play_gap({Micros{100'000}, Micros{50'000}, false, true, false});
+}
+TEST(OutageAfterCancel, AMachineThatHangsIsReleasedInTime) {
+    play_gap({Micros{100'000}, Micros{50'000}, false, false, true});
+}
+
+}  // namespace
+}  // namespace hatchwind
