Answers to users where troubles meet: in-doubt commits, ended jobs, repeats, gangs

Causes, each shown by a test of tests/user_answers_test.cpp that failed on the sources before: - Owner::commit gave up a transaction without an answer when its repeat was refused (503, 429, own budget). The next plan could put the same tasks on another page; the late first copy then held its conditions and recorded them twice (the late copy got 200 in place of 409). An unanswered group commit is now kept in doubt (Owner::in_doubt_) and nothing else is planned until it is answered or its epoch is over. Passes go on settling meanwhile, so stops of cancelled tasks do not wait for it. - A start whose record was answered late went out although the cancel had been confirmed in between. - A poll for an ended job that no memory holds took a read index and then a read: with 0.86 s a read it was never answered, while polls of all other jobs were. UsersApi::current_state reads the final state first; its 404 is a read index itself. - A repeated submission of an accepted job was refused with 400 or 422 when its body or the catalog had changed. UsersApi::refuse_unless_accepted looks before any refusal, and says 503 when it cannot know. - Gangs that one zone must hold and that must be spread were accepted; they can never run. - A long list of repeated machine types is shortened to each type once.

--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -450,12 +450,13 @@
     const std::size_t most = node_.settings.txn_ops;
     std::size_t next = 0;
     while (next < all.size()) {
-        wire::Transaction t;
+        Group group;
+        wire::Transaction& t = group.transaction;
         t.conditions.emplace_back(keys::kEpoch, node_.epoch.stamp);
         std::size_t bytes = 0;
         const std::size_t first = next;
         for (; next < all.size(); ++next) {
-            const Unit& u = all[next];
+            Unit& u = all[next];
             const std::size_t writes = u.effects.size() + u.extra.size();
             if (next != first &&
                 (t.writes.size() + writes > most || t.conditions.size() + u.conditions.size() > 4 * most ||
@@ -466,47 +467,77 @@
             for (const auto& w : u.extra) t.writes.push_back({w.key, w.value, 0});
             for (const auto& w : u.effects) t.writes.push_back({w.key, w.value, 0});
             bytes += u.bytes;
+            group.units.push_back(std::move(u));
         }
-        const std::uint64_t epoch = node_.epoch.number;
-        while (true) {
-            auto task = node_.state.commit(t, steady_now() + Micros{3'000'000});
-            const CommitResult r = co_await std::move(task);
-            if (r.outcome == Commit::done) {
-                for (std::size_t i = first; i < next; ++i) {
-                    for (auto& e : all[i].effects) {
-                        e.stamp = r.revision;
-                        replica_.committed(e);
-                    }
-                    for (const auto& key : all[i].keys) waiting_since_.erase(key);
-                    for (auto& c : all[i].closed) to_reap_.push_back(std::move(c));
-                    // Recorded, so it may start; if this node is the owner no more, its order is void.
-                    if (!node_.acting() || epoch != node_.epoch.number) continue;
-                    for (const auto& st : all[i].started) {
-                        memos_[{st.job, st.task}] = Memo{st.attempt.number, steady_now(), Micros{0}};
-                        workers_.order(st.attempt.machine, st.attempt.session,
-                                       {core::OrderKind::start, st.job, st.task, st.attempt.number, 0});
-                    }
-                }
-                break;
-            }
-            if (r.outcome == Commit::unknown && node_.acting()) {
-                // It may have been carried out, or may be later: the same again until there is an answer. Its
-                // conditions make all but one copy fail.
-                co_await node_.loop.sleep(Micros{100'000});
-                continue;
-            }
-            if (r.outcome == Commit::conflict) {
-                auto reach = replica_.reach_conflict(t.conditions, r, steady_now() + Micros{2'000'000});
-                co_await std::move(reach);
-            } else {
-                co_await node_.loop.sleep(Micros{150'000});
-            }
-            co_return false;
-        }
+        auto sending = send(std::move(group));
+        const bool done = co_await std::move(sending);
+        if (!done) co_return false;
     }
     co_return true;
 }
 
+Task<bool> Owner::send(Group group) {
+    const core::Stamp epoch = group.transaction.conditions.front().second;
+    const bool sent_before = in_doubt_.has_value();
+    auto task = node_.state.commit(group.transaction, steady_now() + Micros{3'000'000});
+    const CommitResult r = co_await std::move(task);
+    if (r.outcome == Commit::done) {
+        in_doubt_.reset();
+        carried_out(group, r.revision);
+        co_return true;
+    }
+    if (r.outcome == Commit::conflict) {
+        in_doubt_.reset();
+        auto reach =
+            replica_.reach_conflict(group.transaction.conditions, r, steady_now() + Micros{2'000'000});
+        const bool reached = co_await std::move(reach);
+        if (reached && sent_before) reap_what_is_recorded(group);
+        co_return false;
+    }
+    // Without an answer it may have been carried out, or may be later: the same again until there is an
+    // answer. Its conditions make all but one copy fail. A refusal of the repeat says nothing about the first
+    // copy (UserAnswers.ALateGroupCommitOfTheSameOwnerRecordsNothing).
+    if (r.outcome == Commit::unknown || (sent_before && r.outcome == Commit::not_now)) {
+        if (epoch == node_.epoch.stamp) in_doubt_ = std::move(group);
+    } else {
+        in_doubt_.reset();
+    }
+    co_await node_.loop.sleep(Micros{r.outcome == Commit::unknown ? 100'000 : 150'000});
+    co_return false;
+}
+
+void Owner::carried_out(Group& group, core::Stamp revision) {
+    const core::Stamp epoch = group.transaction.conditions.front().second;
+    for (auto& unit : group.units) {
+        for (auto& e : unit.effects) {
+            e.stamp = revision;
+            replica_.committed(e);
+        }
+        for (const auto& key : unit.keys) waiting_since_.erase(key);
+        for (auto& c : unit.closed) to_reap_.push_back(std::move(c));
+        // Recorded, so it may start; if this node is the owner no more, its order is void.
+        if (!node_.acting() || epoch != node_.epoch.stamp) continue;
+        for (const auto& st : unit.started) {
+            // The answer may come long after the record, and a confirmed cancel in between
+            // (UserAnswers.ACancelConfirmedBeforeTheStartsRecordIsAnsweredStartsNothing).
+            const core::JobEntry* entry = node_.ledger.find(st.job);
+            if (entry == nullptr || entry->job.cancelled) continue;
+            memos_[{st.job, st.task}] = Memo{st.attempt.number, steady_now(), Micros{0}};
+            workers_.order(st.attempt.machine, st.attempt.session,
+                           {core::OrderKind::start, st.job, st.task, st.attempt.number, 0});
+        }
+    }
+}
+
+void Owner::reap_what_is_recorded(const Group& group) {
+    for (const auto& unit : group.units) {
+        for (const auto& c : unit.closed) {
+            const core::Attempt* open = node_.ledger.open_attempt(c.job, c.task);
+            if (open == nullptr || open->number != c.attempt.number) to_reap_.push_back(c);
+        }
+    }
+}
+
 void Owner::reap() {
     // The end is committed. The exited attempt leaves the worker's list once no copy of its start can arrive.
     std::erase_if(to_reap_, [&](const Closed& c) {
@@ -576,8 +607,19 @@
         const Micros began = steady_now();
         Staged s;
         settle(s);
+        // No copy of a transaction of an earlier epoch can be carried out any more.
+        if (in_doubt_ && in_doubt_->transaction.conditions.front().second != node_.epoch.stamp)
+            in_doubt_.reset();
         // Nothing new is placed in an outage.
-        if (node_.state.reachable(steady_now())) {
+        if (in_doubt_) {
+            last_pass_ = steady_now() - began;
+            if (node_.state.reachable(steady_now())) {
+                Group again = *in_doubt_;
+                auto task = send(std::move(again));
+                co_await std::move(task);
+                node_.work.notify_all();
+            }
+        } else if (node_.state.reachable(steady_now())) {
             // What the budget bears within half a second, but enough for one record of each sort.
             const double spare = std::max(0.0, node_.state.spare_writes());
             const double bear = std::max(6.0, spare + node_.state.write_rate() * 0.5);
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -75,8 +75,17 @@
     // Returns how many jobs were left for another pass.
     std::size_t place(Staged& s, std::size_t records);
     std::vector<Unit> units(Staged& s);
+    // A group commit as it was sent.
+    struct Group {
+        wire::Transaction transaction;
+        std::vector<Unit> units;
+    };
     // False when the pass must begin anew.
     io::Task<bool> commit(std::vector<Unit> all);
+    io::Task<bool> send(Group group);
+    void carried_out(Group& group, core::Stamp revision);
+    // The end of an attempt may have been recorded by a copy of a transaction that got no answer.
+    void reap_what_is_recorded(const Group& group);
     void reap();
     void stop(const std::string& job, std::uint32_t task, const core::Attempt& a, double grace_s,
               io::Micros every);
@@ -102,6 +111,9 @@
     std::map<core::TaskRef, io::Micros> announced_;  // until when the others know of a reservation
     std::map<core::TaskRef, io::Micros> stopping_;   // until when a stop for room may take
     std::vector<Closed> to_reap_;
+    // Sent without an answer, so it may be carried out at any later time. Until it is, or is refuted, nothing
+    // else is planned: a plan without it could start its tasks a second time, or others beyond the limit.
+    std::optional<Group> in_doubt_;
     std::map<ChunkKey, io::Micros> waiting_since_;  // ends that wait for company
     io::Micros last_pass_{0};
     std::map<std::tuple<std::string, std::string, std::uint32_t, std::uint64_t>, std::uint64_t> strays_;
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <set>
+
 namespace hatchwind::service {
 
 using io::HttpResponse;
@@ -47,12 +49,17 @@
 std::optional<std::string> UsersApi::impossible(const core::Job& j) const {
     const auto team = node_.settings.teams.find(j.team);
     if (team == node_.settings.teams.end()) return "unknown team";
-    bool fits = false;
+    std::set<std::string> zones;  // with machines that fit
     for (const auto& [name, t] : *node_.catalog) {
         if (!j.allows_type(name) || !j.need.fits_in(t.size)) continue;
-        for (const auto& z : t.zones) fits = fits || !j.zone || *j.zone == z;
+        for (const auto& z : t.zones) {
+            if (!j.zone || *j.zone == z) zones.insert(z);
+        }
     }
-    if (!fits) return "fits no allowed machine type";
+    if (zones.empty()) return "fits no allowed machine type";
+    // All tasks of a gang run at once; of other jobs as many may run as one zone takes.
+    const bool one_zone = j.one_zone || zones.size() == 1;
+    if (j.kind == core::JobKind::gang && one_zone && j.zone_cap() < j.tasks) return "can not be spread";
     const double k = j.kind == core::JobKind::array ? 1.0 : static_cast<double>(j.tasks);
     if (j.need.cpus * k > team->second.cpus_max + core::kSlack ||
         j.need.gpus * k > team->second.gpus_max + core::kSlack) {
@@ -75,7 +82,8 @@
     return with_body(status, wire::job_answer(e.job.id, s, e.done, running));
 }
 
-Task<UsersApi::Lookup> UsersApi::find_final(std::string id, Final& into, Micros deadline) {
+Task<UsersApi::Lookup> UsersApi::find_final(std::string id, Final& into, core::Stamp& revision,
+                                            Micros deadline) {
     if (const auto it = finals_.find(id); it != finals_.end()) {
         into = it->second;
         co_return Lookup::found;
@@ -83,6 +91,7 @@
     auto task = node_.state.get(keys::final(id), deadline);
     const GetResult r = co_await std::move(task);
     if (!r.ok) co_return Lookup::failed;
+    revision = r.revision;
     if (!r.value) co_return Lookup::absent;
     const auto f = wire::parse_final_record(*r.value);
     if (!f) co_return Lookup::failed;
@@ -97,6 +106,52 @@
     co_return Lookup::found;
 }
 
+Task<UsersApi::Lookup> UsersApi::current_state(std::string id, HttpResponse& answer, Micros deadline) {
+    if (node_.ledger.find(id) != nullptr) {
+        auto index = replica_.caught_up(deadline);
+        const bool current = co_await std::move(index);
+        if (!current) co_return Lookup::failed;
+        if (const auto* entry = node_.ledger.find(id)) {
+            answer = describe(*entry, 200);
+            co_return Lookup::found;
+        }
+    }
+    // Final states never change, so one read serves what has ended. With a read index before it, a slow state
+    // service took longer than users wait, and only they were never answered
+    // (UserAnswers.AnEndedJobIsAnsweredWhileTheStateServiceIsSlow).
+    Final final_state{};
+    core::Stamp revision = 0;
+    auto first = find_final(id, final_state, revision, deadline);
+    Lookup found = co_await std::move(first);
+    if (found == Lookup::absent) {
+        // That answer is a read index itself: what was accepted before it and had not ended is in the copy.
+        auto reach = replica_.reach(revision, deadline);
+        const bool current = co_await std::move(reach);
+        if (!current) co_return Lookup::failed;
+        if (const auto* entry = node_.ledger.find(id)) {
+            answer = describe(*entry, 200);
+            co_return Lookup::found;
+        }
+        // The copy may be past that revision by now, and the job may have come and ended in between.
+        auto second = find_final(id, final_state, revision, deadline);
+        found = co_await std::move(second);
+    }
+    if (found == Lookup::found)
+        answer = with_body(200, wire::job_answer(id, final_state.status, final_state.done, 0));
+    co_return found;
+}
+
+Task<HttpResponse> UsersApi::refuse_unless_accepted(std::string id, HttpResponse refusal) {
+    if (!finals_.contains(id) && (!node_.synced || !node_.state.reachable(steady_now())))
+        co_return retry_later();
+    HttpResponse answer;
+    auto lookup = current_state(id, answer, steady_now() + Micros{2'500'000});
+    const Lookup found = co_await std::move(lookup);
+    if (found == Lookup::found) co_return answer;
+    // Unknown is never "no".
+    co_return found == Lookup::absent ? refusal : retry_later();
+}
+
 Task<HttpResponse> UsersApi::submit(io::HttpRequest request) {
     if (request.body_too_large) co_return plain(400);
     if (submitting_ >= kSubmitting) co_return retry_later(429);
@@ -110,44 +165,56 @@
     }
     auto parsed = wire::parse_submission(*v);
     if (const auto* wrong = std::get_if<std::string>(&parsed)) {
-        co_return with_body(400, {{"error", "invalid field " + *wrong}});
+        HttpResponse refusal = with_body(400, {{"error", "invalid field " + *wrong}});
+        std::string named = wire::text(*v, "id").value_or("");
+        if (!wire::is_job_id(named)) co_return refusal;
+        auto answer = refuse_unless_accepted(std::move(named), std::move(refusal));
+        HttpResponse response = co_await std::move(answer);
+        co_return response;
     }
     core::Job job = std::get<core::Job>(std::move(parsed));
-    if (!node_.catalog || !node_.synced) co_return retry_later();
-    if (const auto why = impossible(job)) co_return with_body(422, {{"error", *why}});
+    const std::string id = job.id;
+    // What was accepted once is neither refused nor accepted anew, whatever the settings and the catalog say
+    // of it by now.
+    const bool known = finals_.contains(id) || node_.ledger.find(id) != nullptr;
+    const std::optional<std::string> why = known || !node_.catalog ? std::nullopt : impossible(job);
+    if (known || !node_.catalog || why) {
+        HttpResponse refusal = why ? with_body(422, {{"error", *why}}) : retry_later();
+        auto answer = refuse_unless_accepted(id, std::move(refusal));
+        HttpResponse response = co_await std::move(answer);
+        co_return response;
+    }
+    if (!node_.synced) co_return retry_later();
     if (job.types) {
         // Types that the cloud does not have add nothing, and a long list would pass the value limit.
-        std::erase_if(*job.types, [&](const std::string& t) { return !node_.catalog->contains(t); });
+        std::set<std::string> named;
+        std::erase_if(*job.types, [&](const std::string& type) {
+            return !node_.catalog->contains(type) || !named.insert(type).second;
+        });
     }
     if (!node_.state.reachable(steady_now())) co_return retry_later();
     const Micros deadline = steady_now() + Micros{2'500'000};
-    const std::string id = job.id;
-    if (node_.ledger.find(id) == nullptr) {
-        job.accepted = io::wall_now();
-        wire::Transaction t;
-        t.conditions = {{keys::job(id), 0}, {keys::final(id), 0}};
-        t.writes.push_back({keys::job(id), wire::job_record(job), 0});
-        auto task = node_.state.commit(std::move(t), deadline, true);
-        const CommitResult r = co_await std::move(task);
-        if (r.outcome == Commit::done) {
-            replica_.committed({keys::job(id), wire::job_record(job), r.revision});
-            node_.work.notify_all();
-            node_.fleet_work.notify_all();
-            co_return with_body(201, wire::job_answer(id, wire::JobStatus::queued));
-        }
-        // Whether an unanswered commit was carried out, the user's next try will find out.
-        if (r.outcome != Commit::conflict) co_return retry_later();
-        auto reach = replica_.reach(r.revision, deadline);
-        const bool reached = co_await std::move(reach);
-        if (!reached) co_return retry_later();
-    } else {
-        auto index = replica_.caught_up(deadline);
-        const bool current = co_await std::move(index);
-        if (!current) co_return retry_later();
+    job.accepted = io::wall_now();
+    wire::Transaction t;
+    t.conditions = {{keys::job(id), 0}, {keys::final(id), 0}};
+    t.writes.push_back({keys::job(id), wire::job_record(job), 0});
+    auto task = node_.state.commit(std::move(t), deadline, true);
+    const CommitResult r = co_await std::move(task);
+    if (r.outcome == Commit::done) {
+        replica_.committed({keys::job(id), wire::job_record(job), r.revision});
+        node_.work.notify_all();
+        node_.fleet_work.notify_all();
+        co_return with_body(201, wire::job_answer(id, wire::JobStatus::queued));
     }
-    if (const auto* e = node_.ledger.find(id)) co_return describe(*e, 200);
+    // Whether an unanswered commit was carried out, the user's next try will find out.
+    if (r.outcome != Commit::conflict) co_return retry_later();
+    auto reach = replica_.reach(r.revision, deadline);
+    const bool reached = co_await std::move(reach);
+    if (!reached) co_return retry_later();
+    if (const auto* entry = node_.ledger.find(id)) co_return describe(*entry, 200);
     Final f{};
-    auto lookup = find_final(id, f, deadline);
+    core::Stamp revision = 0;
+    auto lookup = find_final(id, f, revision, deadline);
     const Lookup found = co_await std::move(lookup);
     if (found != Lookup::found) co_return retry_later();
     co_return with_body(200, wire::job_answer(id, f.status, f.done, 0));
@@ -155,24 +222,17 @@
 
 Task<HttpResponse> UsersApi::poll(std::string id) {
     if (!wire::is_job_id(id)) co_return plain(404);
-    if (polling_ >= kPolling) co_return retry_later(429);
-    const Counted counted{polling_};
-    if (!node_.synced) co_return retry_later();
-    Final f{};
     if (const auto it = finals_.find(id); it != finals_.end()) {
         co_return with_body(200, wire::job_answer(id, it->second.status, it->second.done, 0));
     }
-    if (!node_.state.reachable(steady_now())) co_return retry_later();
-    const Micros deadline = steady_now() + Micros{1'700'000};
-    auto index = replica_.caught_up(deadline);
-    const bool current = co_await std::move(index);
-    if (!current) co_return retry_later();
-    if (const auto* e = node_.ledger.find(id)) co_return describe(*e, 200);
-    auto lookup = find_final(id, f, deadline);
+    if (polling_ >= kPolling) co_return retry_later(429);
+    const Counted counted{polling_};
+    if (!node_.synced || !node_.state.reachable(steady_now())) co_return retry_later();
+    HttpResponse answer;
+    auto lookup = current_state(std::move(id), answer, steady_now() + Micros{1'700'000});
     const Lookup found = co_await std::move(lookup);
     if (found == Lookup::failed) co_return retry_later();
-    if (found == Lookup::absent) co_return plain(404);
-    co_return with_body(200, wire::job_answer(id, f.status, f.done, 0));
+    co_return found == Lookup::absent ? plain(404) : answer;
 }
 
 Task<HttpResponse> UsersApi::cancel(std::string id) {
@@ -191,7 +251,8 @@
         }
         if (e == nullptr) {
             Final f{};
-            auto lookup = find_final(id, f, deadline);
+            core::Stamp revision = 0;
+            auto lookup = find_final(id, f, revision, deadline);
             const Lookup found = co_await std::move(lookup);
             if (found == Lookup::failed) co_return retry_later();
             if (found == Lookup::absent) co_return plain(404);
--- a/src/service/users_api.hpp
+++ b/src/service/users_api.hpp
@@ -24,7 +24,12 @@
         std::uint32_t done;
     };
     enum class Lookup : std::uint8_t { found, absent, failed };
-    io::Task<Lookup> find_final(std::string id, Final& into, io::Micros deadline);
+    // `revision`, after `absent`: of the store when it held no final state of the job.
+    io::Task<Lookup> find_final(std::string id, Final& into, core::Stamp& revision, io::Micros deadline);
+    // The state of a job at a moment after the call, and certainty when it was never accepted.
+    io::Task<Lookup> current_state(std::string id, io::HttpResponse& answer, io::Micros deadline);
+    // `refusal`, unless the job was accepted before: then its state.
+    io::Task<io::HttpResponse> refuse_unless_accepted(std::string id, io::HttpResponse refusal);
     io::HttpResponse describe(const core::JobEntry& e, int status) const;
     std::optional<std::string> impossible(const core::Job& j) const;
 
