Placement: aging, candidate search, claims, preemption, holds, tasks and gangs are modules

Cause: one file of 630 lines with a class of 500; its steps shared all their state. Change: one module for each step over a shared PlacementTrial; costs and claims are types and not tuples; from_seconds() stands once. core::place() stays the entry. Behaviour is meant to be the same.

--- /dev/null
+++ b/src/core/aging.cpp
@@ -0,0 +1,104 @@
+#include "core/aging.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace hatchwind::core {
+
+namespace {
+
+constexpr double kLeastLateDueSeconds = 240.0;
+// Estimates are often wrong by half: what might still be met counts as such.
+constexpr double kTrustedShareOfEstimate = 0.5;
+
+// Once all wishes are missed: behind what can still be met, since serving the latest first under overload
+// makes every job late in turn; but by a time of its own, so that newcomers do not pass it for ever.
+Micros late_due(const Job& job, double last_wish_s) {
+    return job.accepted + from_seconds(std::max(kLeastLateDueSeconds, 2 * last_wish_s));
+}
+
+// When the job would have to be done for this objective. A wait is over with the start: counted to the end,
+// as the others are, a class with a wish for its wait looked as if it were late before its time, and machines
+// were rented for that.
+double done_within(const Job& job, const Objective& objective) {
+    return objective.kind == "wait" ? objective.within_s + job.estimate_s : objective.within_s;
+}
+
+double last_wish(const Job& job, const std::vector<Objective>& objectives) {
+    double last = job.deadline_s.value_or(0);
+    for (const auto& objective : objectives) {
+        if (objective.job_class == job.job_class) last = std::max(last, done_within(job, objective));
+    }
+    return last;
+}
+
+struct QueuePosition {
+    int rank;  // lower goes first
+    Micros due;
+    const JobEntry* entry;
+};
+
+bool goes_before(const QueuePosition& left, const QueuePosition& right) {
+    return std::tie(left.rank, left.due, left.entry->job.id) <
+           std::tie(right.rank, right.due, right.entry->job.id);
+}
+
+QueuePosition position_of(const JobEntry& entry, const std::vector<Objective>& objectives, Micros wall) {
+    const Micros due = due_time(entry.job, objectives, wall);
+    // What is late even by its last due time goes before other arrays of any priority.
+    int rank = -static_cast<int>(entry.job.priority);
+    if (wall > due) rank = std::min(rank, -static_cast<int>(Priority::high));
+    return {rank, due, &entry};
+}
+
+}  // namespace
+
+Micros due_time(const Job& job, const std::vector<Objective>& objectives, Micros wall) {
+    const Micros run = from_seconds(job.estimate_s * kTrustedShareOfEstimate);
+    Micros due = late_due(job, last_wish(job, objectives));
+    const auto consider = [&](double within_s) {
+        const Micros at = job.accepted + from_seconds(within_s);
+        if (at >= wall + run) due = std::min(due, at);
+    };
+    if (job.deadline_s) consider(*job.deadline_s);
+    for (const auto& objective : objectives) {
+        if (objective.job_class == job.job_class && objective.within_s > 0)
+            consider(done_within(job, objective));
+    }
+    return due;
+}
+
+bool waited_too_long(const JobEntry& entry, Micros wall) {
+    return entry.done == 0 && wall - entry.job.accepted >= kBeginWithin;
+}
+
+bool must_begin(const JobEntry& entry, Micros wall) {
+    return entry.open == 0 && waited_too_long(entry, wall);
+}
+
+std::vector<const JobEntry*> queue_order(const Ledger& ledger, const std::set<std::string>& teams,
+                                         const std::vector<Objective>& objectives, Micros wall) {
+    std::vector<QueuePosition> positions;
+    for (const auto& [id, entry] : ledger.jobs()) {
+        if (entry.job.cancelled || entry.unstarted() == 0 || !teams.contains(entry.job.team)) continue;
+        positions.push_back(position_of(entry, objectives, wall));
+    }
+    std::sort(positions.begin(), positions.end(), goes_before);
+    std::vector<const JobEntry*> queue;
+    queue.reserve(positions.size());
+    for (const auto& position : positions) queue.push_back(position.entry);
+    return queue;
+}
+
+std::vector<const JobEntry*> overdue_jobs(const std::vector<const JobEntry*>& queue, Micros wall) {
+    std::vector<const JobEntry*> overdue;
+    for (const JobEntry* entry : queue) {
+        if (must_begin(*entry, wall)) overdue.push_back(entry);
+    }
+    std::stable_sort(overdue.begin(), overdue.end(), [](const JobEntry* left, const JobEntry* right) {
+        return left->job.accepted < right->job.accepted;
+    });
+    return overdue;
+}
+
+}  // namespace hatchwind::core
--- /dev/null
+++ b/src/core/aging.hpp
@@ -0,0 +1,34 @@
+// Urgency of queued jobs: when each one is due, in which order they are tried, and which have waited too long
+// for their first start.
+#pragma once
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/ledger.hpp"
+
+namespace hatchwind::core {
+
+// A job of which nothing has begun for so long goes ahead with its first task, and free capacity is held for
+// it: else work that is urgent still, or small, passes it for ever.
+constexpr Micros kBeginWithin{90'000'000};
+
+// The time of day by which the job's users want it: the earliest of its deadline and its class's objectives
+// that a task started now can still meet.
+Micros due_time(const Job& job, const std::vector<Objective>& objectives, Micros wall);
+
+// Nothing of it has finished kBeginWithin after it was accepted.
+bool waited_too_long(const JobEntry& entry, Micros wall);
+
+// Has waited too long for its first start.
+bool must_begin(const JobEntry& entry, Micros wall);
+
+// Jobs of the given teams with tasks to start, most urgent first.
+std::vector<const JobEntry*> queue_order(const Ledger& ledger, const std::set<std::string>& teams,
+                                         const std::vector<Objective>& objectives, Micros wall);
+
+// Those of the queue that must begin, the longest wait first.
+std::vector<const JobEntry*> overdue_jobs(const std::vector<const JobEntry*>& queue, Micros wall);
+
+}  // namespace hatchwind::core
--- /dev/null
+++ b/src/core/capacity_holds.cpp
@@ -0,0 +1,65 @@
+#include "core/capacity_holds.hpp"
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace hatchwind::core {
+
+namespace {
+
+constexpr Micros kHoldTime{5'000'000};
+
+// Machines that may ever take a task of the job, those with the most free CPUs first.
+std::vector<std::size_t> machines_by_free_cpus(const FreeCapacity& capacity, const Job& job) {
+    const auto& machines = capacity.machines();
+    std::vector<std::size_t> order;
+    for (std::size_t i = 0; i < machines.size(); ++i) {
+        const MachineCapacity& machine = machines[i];
+        if (!machine.usable || machine.draining || !may_run_on(job, machine)) continue;
+        if (job.need.fits_in(machine.type->size)) order.push_back(i);
+    }
+    std::sort(order.begin(), order.end(), [&](std::size_t left, std::size_t right) {
+        return std::tuple{-machines[left].free.cpus, left} < std::tuple{-machines[right].free.cpus, right};
+    });
+    return order;
+}
+
+// For a job that needs all its tasks in one zone.
+void keep_emptiest_zone(const FreeCapacity& capacity, std::vector<std::size_t>& order) {
+    if (order.empty()) return;
+    const auto& machines = capacity.machines();
+    std::map<std::string, double> free;
+    for (const auto i : order) free[machines[i].zone] += std::max(0.0, machines[i].free.cpus);
+    const auto emptiest = std::max_element(free.begin(), free.end(), [](const auto& left, const auto& right) {
+        return left.second < right.second;
+    });
+    std::erase_if(order, [&](std::size_t i) { return machines[i].zone != emptiest->first; });
+}
+
+}  // namespace
+
+void hold_capacity(PlacementTrial& trial, const JobEntry& entry, std::uint32_t tasks) {
+    const FreeCapacity& capacity = trial.capacity();
+    std::vector<std::size_t> order = machines_by_free_cpus(capacity, entry.job);
+    if (entry.job.one_zone) keep_emptiest_zone(capacity, order);
+    const Micros until = trial.input().now + kHoldTime;
+    std::size_t next = 0;
+    std::uint32_t task = 0;
+    while (task < tasks && next < order.size()) {
+        const MachineCapacity& machine = capacity.machines()[order[next]];
+        // What is held already, for an older job, is full beyond its size.
+        if (machine.free.cpus < 0) {
+            ++next;
+            continue;
+        }
+        const Reservation hold{machine.id, entry.job.need, until, true};
+        trial.result().reservations[{entry.job.id, task}] = hold;
+        trial.hold(hold);
+        ++task;
+    }
+}
+
+}  // namespace hatchwind::core
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -11,6 +11,11 @@
 namespace hatchwind::core {
 
 using Micros = std::chrono::microseconds;
+// Settings and wire messages give durations in seconds.
+constexpr Micros from_seconds(double seconds) {
+    constexpr double kMicrosPerSecond = 1e6;
+    return Micros{static_cast<std::int64_t>(seconds * kMicrosPerSecond)};
+}
 using Stamp = std::uint64_t;  // a store revision; 0: the key does not exist
 
 constexpr double kSlack =
--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -1,4 +1,6 @@
-// Which task starts where: a pure pass over the queue and the room.
+// Which task starts where: a pure pass over the queue and the free capacity. The steps of the pass are
+// modules of their own: aging, candidate search, team claims, preemption, holds, and the placement of tasks
+// and gangs.
 #pragma once
 
 #include <map>
@@ -6,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "core/aging.hpp"
 #include "core/free_capacity.hpp"
 #include "core/ledger.hpp"
 
@@ -51,10 +54,6 @@
     std::size_t most_records = 48;  // store records that the starts may touch
 };
 
-// A job of which nothing has begun for so long goes ahead with its first task, and room is held for it:
-// else work that is urgent still, or small, passes it for ever.
-constexpr Micros kBeginWithin{90'000'000};
-
 struct PlacementResult {
     std::vector<Start> starts;
     std::vector<Stop> stops;
@@ -62,17 +61,7 @@
     std::size_t deferred = 0;  // jobs that were not looked at, since the pass had its fill
 };
 
-// The time of day by which the job's users want it: the earliest of its deadline and its class's objectives
-// that a task started now can still meet.
-Micros due_time(const Job& j, const std::vector<Objective>& objectives, Micros wall);
-
-// Has waited too long for its first start.
-bool must_begin(const JobEntry& e, Micros wall);
-
-// Jobs of the given teams with tasks to start, most urgent first.
-std::vector<const JobEntry*> queue_order(const Ledger& l, const std::set<std::string>& teams,
-                                         const std::vector<Objective>& objectives, Micros wall);
-
-PlacementResult place(const PlacementInput& in, FreeCapacity& room);
+// One pass: decides starts, stops and reservations, and takes what they use out of `capacity`.
+PlacementResult place(const PlacementInput& input, FreeCapacity& capacity);
 
 }  // namespace hatchwind::core
--- /dev/null
+++ b/src/core/placement_trial.cpp
@@ -0,0 +1,76 @@
+#include "core/placement_trial.hpp"
+
+#include <algorithm>
+
+namespace hatchwind::core {
+
+PlacementTrial::PlacementTrial(const PlacementInput& input, FreeCapacity& capacity)
+    : input_(input), capacity_(capacity) {
+    hold_known_reservations();
+    for (const auto& [name, team] : *input.teams) team_use_[name] = input.ledger->team_use(name);
+    count_free_cpus();
+}
+
+void PlacementTrial::hold_known_reservations() {
+    for (const auto& [task, reservation] : input_.reservations) {
+        if (reservation.until <= input_.now || reservation.waiting) continue;
+        result_.reservations.emplace(task, reservation);
+        hold(reservation);
+    }
+    for (const auto& reservation : input_.foreign) {
+        if (!reservation.waiting) hold(reservation);
+    }
+}
+
+void PlacementTrial::count_free_cpus() {
+    for (const auto& machine : capacity_.machines()) {
+        if (!machine.usable || machine.draining) continue;
+        double& sum = machine.spot ? free_spot_cpus_ : free_ordinary_cpus_;
+        sum += std::max(0.0, machine.free.cpus);
+    }
+}
+
+bool PlacementTrial::full() const {
+    return result_.starts.size() >= input_.most_starts || records_.size() >= input_.most_records;
+}
+
+bool PlacementTrial::within_limit(const Job& job, std::uint32_t more_tasks) const {
+    const auto team = input_.teams->find(job.team);
+    if (team == input_.teams->end()) return false;
+    const Amount& use = team_use_.at(job.team);
+    return use.cpus + job.need.cpus * more_tasks <= team->second.cpus_max + kSlack &&
+           use.gpus + job.need.gpus * more_tasks <= team->second.gpus_max + kSlack;
+}
+
+void PlacementTrial::start(const JobEntry& entry, std::uint32_t task, std::uint64_t attempt,
+                           std::size_t machine) {
+    const MachineCapacity& chosen = capacity_.machines()[machine];
+    capacity_.take(machine, entry.job.need);
+    (chosen.spot ? free_spot_cpus_ : free_ordinary_cpus_) -= entry.job.need.cpus;
+    charge_team(entry.job.team, entry.job.need);
+    result_.starts.push_back({entry.job.id, task, {attempt, chosen.id, chosen.session}});
+    started_.insert({entry.job.id, task});
+    records_.insert({&entry, task / kChunkTasks});
+}
+
+bool PlacementTrial::listed_on(std::size_t machine, const JobEntry& entry, std::uint32_t task) const {
+    const MachineView* view = capacity_.machines()[machine].view;
+    return view != nullptr && view->task(entry.job.id, task) != nullptr;
+}
+
+void PlacementTrial::take_reserved(const Reservation& reservation, double sign) {
+    const auto machine = capacity_.at(reservation.machine);
+    if (machine != FreeCapacity::npos) capacity_.take(machine, reservation.need * sign);
+}
+
+PlacementTrial::Savepoint PlacementTrial::savepoint(const std::string& team) {
+    return {capacity_.mark(), result_.starts.size(), team, team_use_[team]};
+}
+
+void PlacementTrial::roll_back(const Savepoint& savepoint) {
+    capacity_.revert(savepoint.capacity_mark);
+    result_.starts.resize(savepoint.starts);
+    team_use_[savepoint.team] = savepoint.team_use;
+}
+
+}  // namespace hatchwind::core
--- /dev/null
+++ b/src/core/preemption.cpp
@@ -0,0 +1,171 @@
+#include "core/preemption.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/aging.hpp"
+
+namespace hatchwind::core {
+
+namespace {
+// Time for a stop to be carried out and reported, beyond its grace period.
+constexpr Micros kStopTime{4'000'000};
+constexpr double kSaveMarginSeconds = 0.5;
+// Above every priority.
+constexpr int kBegunLatePenalty = 8;
+
+enum LostWork : int { kNothingLost = 0, kSavedInPart = 1, kAllLost = 2 };
+
+LostWork lost_work(const Job& job, TaskState state) {
+    if (state == TaskState::fetching) return kNothingLost;
+    return job.checkpoint_s > 0 ? kSavedInPart : kAllLost;
+}
+}  // namespace
+
+Preemption::Preemption(PlacementTrial& trial, TeamClaims& claims) : trial_(trial), claims_(claims) {
+    for (const auto& objective : *trial.input().objectives) {
+        if (objective.kind == "guarantee") patience_ = from_seconds(objective.within_s / 2);
+    }
+}
+
+bool Preemption::may_preempt_yet(const Job& job) const {
+    // Tasks of arrays end all the time, and the queue's order gives what they leave to whom a stop would
+    // serve. Only who has waited for half the time that a guarantee allows stops others' work.
+    return job.kind != JobKind::array || trial_.input().wall - job.accepted >= patience_;
+}
+
+bool Preemption::may_stop(const Job& job, const Claim& claim, const Victim& victim) {
+    if (claim <= victim.claim) return false;
+    if (job.priority > victim.entry->job.priority) return true;
+    if (job.team == victim.entry->job.team || claim.rank == Claim::Rank::beyond_guarantee) return false;
+    return victim.team_use->cpus > victim.team->cpus + kSlack ||
+           victim.team_use->gpus > victim.team->gpus + kSlack;
+}
+
+bool Preemption::never_stopped(const TaskRef& task, const Job& job) const {
+    // A gang loses far more than one task's capacity.
+    return job.priority == Priority::production || job.kind == JobKind::gang ||
+           !trial_.input().teams->contains(job.team) || trial_.input().stopping.contains(task);
+}
+
+Preemption::VictimCost Preemption::victim_cost(const JobEntry& entry, TaskState state) const {
+    // The first task of a job that had to begin comes last of all: stopped, the job has not begun, and on a
+    // full fleet that went on for minutes.
+    const bool begun_late = entry.open == 1 && waited_too_long(entry, trial_.input().wall);
+    const int priority = static_cast<int>(entry.job.priority) + (begun_late ? kBegunLatePenalty : 0);
+    return {priority, lost_work(entry.job, state), entry.job.need.cpus};
+}
+
+std::vector<Preemption::Victim> Preemption::find_stoppable(const MachineCapacity& machine) {
+    std::vector<Victim> victims;
+    if (!machine.usable || machine.draining || machine.held == nullptr) return victims;
+    const JobEntry* last = nullptr;
+    Claim claim;
+    for (const auto& [task, held] : *machine.held) {
+        const Job& job = held.entry->job;
+        if (never_stopped(task, job)) continue;
+        const auto view = view_attempt(*machine.view, task.job, task.task, held.number, held.session);
+        if (view.fate != Fate::live || view.state == TaskState::saving) continue;
+        if (held.entry != last) {
+            last = held.entry;
+            claim = claims_.claim(job);
+        }
+        const VictimCost cost = victim_cost(*held.entry, view.state);
+        const Amount& team_use = trial_.team_use(job.team);
+        const Team& team = trial_.input().teams->at(job.team);
+        victims.push_back({held.entry, task.task, held.number, cost, claim, &team_use, &team});
+    }
+    std::sort(victims.begin(), victims.end(),
+              [](const Victim& left, const Victim& right) { return left.cost < right.cost; });
+    return victims;
+}
+
+std::vector<Preemption::Victim>& Preemption::stoppable(std::size_t machine) {
+    const auto& machines = trial_.capacity().machines();
+    if (victims_.empty()) victims_.resize(machines.size());
+    if (!victims_[machine]) victims_[machine] = find_stoppable(machines[machine]);
+    return *victims_[machine];
+}
+
+bool Preemption::worth_a_look(const Request& request, const MachineCapacity& machine) const {
+    const Job& job = request.entry.job;
+    if (machine.held == nullptr) return false;
+    if (request.with_image && !machine.has_image(job.image)) return false;
+    return may_run_on(job, machine) && request.zones.allows(job, machine.zone);
+}
+
+Preemption::Plan Preemption::plan_on(std::size_t machine, const Request& request) {
+    const Job& job = request.entry.job;
+    const MachineCapacity& at = trial_.capacity().machines()[machine];
+    Plan plan{machine, {}, {}};
+    Amount free = at.free;
+    for (Victim& victim : stoppable(machine)) {
+        if (job.need.fits_in(free)) break;
+        if (victim.stopping || !may_stop(job, request.claim, victim)) continue;
+        plan.victims.push_back(&victim);
+        free += victim.entry->job.need;
+    }
+    if (plan.victims.empty()) return plan;
+    if (!job.need.fits_in(free) || trial_.listed_on(machine, request.entry, request.task)) {
+        plan.victims.clear();
+        return plan;
+    }
+    const VictimCost& worst = plan.victims.back()->cost;
+    const int victims_and_lost_work = static_cast<int>(plan.victims.size()) + worst.lost_work;
+    plan.cost = {!at.has_image(job.image), worst.priority, victims_and_lost_work, free.cpus};
+    return plan;
+}
+
+Preemption::Plan Preemption::cheapest_plan(const Request& request) {
+    const auto& machines = trial_.capacity().machines();
+    Plan cheapest;
+    for (std::size_t i = 0; i < machines.size(); ++i) {
+        if (!worth_a_look(request, machines[i])) continue;
+        Plan plan = plan_on(i, request);
+        if (plan.victims.empty()) continue;
+        if (cheapest.victims.empty() || plan.cost < cheapest.cost) cheapest = std::move(plan);
+    }
+    return cheapest;
+}
+
+double Preemption::stop_victims(const Plan& plan, const Job& job) {
+    const MachineCapacity& machine = trial_.capacity().machines()[plan.machine];
+    double longest_grace_s = 0;
+    for (Victim* victim : plan.victims) {
+        const Job& stopped = victim->entry->job;
+        trial_.credit_team(stopped.team, stopped.need);
+        victim->stopping = true;
+        // A service's users wait now; anything else can wait until the victim has saved.
+        const bool saves = job.kind != JobKind::service && stopped.checkpoint_s > 0;
+        const double grace_s = saves ? stopped.save_s + kSaveMarginSeconds : 0;
+        trial_.result().stops.push_back(
+            {stopped.id, victim->task, {victim->attempt, machine.id, machine.session}, grace_s});
+        longest_grace_s = std::max(longest_grace_s, grace_s);
+    }
+    return longest_grace_s;
+}
+
+bool Preemption::preempt(const JobEntry& entry, const ZoneUse& zones, std::uint32_t task, bool with_image) {
+    const Job& job = entry.job;
+    if (trial_.result().stops.size() >= trial_.input().most_stops) return false;
+    if (!may_preempt_yet(job)) return false;
+    const Claim claim = claims_.claim(job);
+    // A search that found nothing finds nothing for the next job of that shape and claim.
+    const SearchKey key{shape(job), claim, job.team, with_image ? job.image : std::string{}};
+    if (without_victims_.contains(key)) return false;
+    const Plan plan = cheapest_plan({entry, zones, task, with_image, claim});
+    if (plan.victims.empty()) {
+        if (!job.spread && !job.one_zone) without_victims_.insert(key);
+        return false;
+    }
+    // The victims' capacity is not free before they have gone: a start into it now would be refused.
+    const double longest_grace_s = stop_victims(plan, job);
+    trial_.capacity().take(plan.machine, job.need);
+    trial_.charge_team(job.team, job.need);
+    const Micros until = trial_.input().now + kStopTime + from_seconds(longest_grace_s);
+    const std::string& machine = trial_.capacity().machines()[plan.machine].id;
+    trial_.result().reservations[{job.id, task}] = {machine, job.need, until};
+    return true;
+}
+
+}  // namespace hatchwind::core
--- /dev/null
+++ b/src/core/preemption.hpp
@@ -0,0 +1,89 @@
+// Preemption: chooses running tasks to stop so that a task with a better claim finds free capacity.
+#pragma once
+
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/placement_trial.hpp"
+#include "core/team_claims.hpp"
+
+namespace hatchwind::core {
+
+class Preemption {
+  public:
+    Preemption(PlacementTrial& trial, TeamClaims& claims);
+
+    // Stops what is needed for the task and reserves the machine for it; false when nothing suits.
+    // `with_image`: only on machines that have the job's image.
+    bool preempt(const JobEntry& entry, const ZoneUse& zones, std::uint32_t task, bool with_image = false);
+
+  private:
+    // Least lost first.
+    struct VictimCost {
+        int priority = 0;
+        int lost_work = 0;
+        double cpus = 0;
+        friend auto operator<=>(const VictimCost&, const VictimCost&) = default;
+    };
+    struct Victim {
+        const JobEntry* entry = nullptr;
+        std::uint32_t task = 0;
+        std::uint64_t attempt = 0;
+        VictimCost cost;
+        Claim claim;
+        const Amount* team_use = nullptr;  // what its team uses in this pass
+        const Team* team = nullptr;        // and what it is guaranteed
+        bool stopping = false;
+    };
+    struct PlanCost {
+        bool without_image = true;
+        int priority = 0;
+        int victims_and_lost_work = 0;
+        double cpus = 0;
+        friend auto operator<=>(const PlanCost&, const PlanCost&) = default;
+    };
+    struct Plan {
+        std::size_t machine = 0;
+        std::vector<Victim*> victims;
+        PlanCost cost;
+    };
+    // Who asks for what.
+    struct Request {
+        const JobEntry& entry;
+        const ZoneUse& zones;
+        std::uint32_t task;
+        bool with_image;
+        Claim claim;
+    };
+    struct SearchKey {
+        Shape shape;
+        Claim claim;
+        std::string team;
+        std::string image;
+        friend auto operator<=>(const SearchKey&, const SearchKey&) = default;
+    };
+
+    bool may_preempt_yet(const Job& job) const;
+    static bool may_stop(const Job& job, const Claim& claim, const Victim& victim);
+    bool worth_a_look(const Request& request, const MachineCapacity& machine) const;
+    // The cheapest plan; without victims when there is none.
+    Plan cheapest_plan(const Request& request);
+    Plan plan_on(std::size_t machine, const Request& request);
+    // What runs on the machine and might be stopped for somebody: the same for every job of a pass.
+    std::vector<Victim>& stoppable(std::size_t machine);
+    std::vector<Victim> find_stoppable(const MachineCapacity& machine);
+    bool never_stopped(const TaskRef& task, const Job& job) const;
+    VictimCost victim_cost(const JobEntry& entry, TaskState state) const;
+    // Returns the longest grace period of the stops, in seconds.
+    double stop_victims(const Plan& plan, const Job& job);
+
+    PlacementTrial& trial_;
+    TeamClaims& claims_;
+    Micros patience_{};
+    std::set<SearchKey> without_victims_;
+    std::vector<std::optional<std::vector<Victim>>> victims_;  // by machine; none: not looked for yet
+};
+
+}  // namespace hatchwind::core
--- /dev/null
+++ b/src/core/task_placement.cpp
@@ -0,0 +1,102 @@
+#include "core/task_placement.hpp"
+
+namespace hatchwind::core {
+
+std::optional<double> TaskPlacement::longest_wait_s(const Job& job) const {
+    std::optional<double> wait_s;
+    for (const auto& objective : *trial_.input().objectives) {
+        if (objective.kind == "wait" && objective.job_class == job.job_class) wait_s = objective.within_s;
+    }
+    return wait_s;
+}
+
+ZoneUse& TaskPlacement::zones_of(const JobEntry& entry) {
+    const auto [known, fresh] = zones_.try_emplace(&entry);
+    if (fresh) known->second = ZoneUse::of(entry, trial_.capacity());
+    return known->second;
+}
+
+void TaskPlacement::place(const JobEntry& entry, Extent extent) {
+    JobSearch search{
+        entry, extent, zones_of(entry), longest_wait_s(entry.job), search_.ranked(entry.job),
+    };
+    for (const std::uint32_t task : unstarted_tasks(entry, trial_.input().most_starts)) {
+        if (trial_.full() || !trial_.within_limit(entry.job)) return;
+        if (trial_.started({entry.job.id, task})) continue;  // as the first task of a job that had to begin
+        const Outcome outcome = place_task(search, task);
+        if (outcome == Outcome::job_must_wait) return;
+        if (outcome == Outcome::started && extent == Extent::first) return;
+    }
+}
+
+TaskPlacement::Outcome TaskPlacement::place_task(JobSearch& search, std::uint32_t task) {
+    const JobEntry& entry = search.entry;
+    auto& reservations = trial_.result().reservations;
+    // Its own reservation is free capacity for it.
+    const auto reservation = reservations.find({entry.job.id, task});
+    const bool reserved = reservation != reservations.end();
+    std::optional<std::size_t> machine;
+    if (reserved) {
+        trial_.release(reservation->second);
+        machine = reserved_machine(search, task, reservation->second);
+    }
+    if (!machine) machine = next_candidate(search, task);
+    if (!machine && reserved) {
+        trial_.hold(reservation->second);
+        return Outcome::waits;
+    }
+    if (!machine) {
+        // The job's other tasks have the same shape.
+        return preemption_.preempt(entry, search.zones, task) ? Outcome::waits : Outcome::job_must_wait;
+    }
+    if (!reserved && search.extent != Extent::first && !claims_.leaves_owed(entry.job, *machine))
+        return Outcome::job_must_wait;
+    if (reserved) {
+        reservations.erase(reservation);
+    } else if (image_comes_too_late(search, *machine) &&
+               preemption_.preempt(entry, search.zones, task, true)) {
+        // Its users wait no longer than this: capacity beside the image is worth another task's place.
+        return Outcome::waits;
+    }
+    start(search, task, *machine);
+    return Outcome::started;
+}
+
+bool TaskPlacement::fits(const JobSearch& search, std::size_t machine) const {
+    const MachineCapacity& candidate = trial_.capacity().machines()[machine];
+    const Job& job = search.entry.job;
+    return job.need.fits_in(candidate.free) && search.zones.allows(job, candidate.zone);
+}
+
+std::optional<std::size_t> TaskPlacement::reserved_machine(const JobSearch& search, std::uint32_t task,
+                                                           const Reservation& reservation) const {
+    const auto machine = trial_.capacity().at(reservation.machine);
+    if (machine == FreeCapacity::npos || !trial_.capacity().machines()[machine].usable) return std::nullopt;
+    if (!fits(search, machine) || trial_.listed_on(machine, search.entry, task)) return std::nullopt;
+    return machine;
+}
+
+std::optional<std::size_t> TaskPlacement::next_candidate(JobSearch& search, std::uint32_t task) const {
+    const auto& candidates = search.candidates;
+    while (search.next < candidates.size() && !fits(search, candidates[search.next].machine)) ++search.next;
+    for (std::size_t i = search.next; i < candidates.size(); ++i) {
+        const std::size_t machine = candidates[i].machine;
+        if (fits(search, machine) && !trial_.listed_on(machine, search.entry, task)) return machine;
+    }
+    return std::nullopt;
+}
+
+bool TaskPlacement::image_comes_too_late(const JobSearch& search, std::size_t machine) const {
+    if (!search.longest_wait_s) return false;
+    const MachineCapacity& candidate = trial_.capacity().machines()[machine];
+    return search_.image_fetch_s(search.entry.job, candidate) > *search.longest_wait_s;
+}
+
+void TaskPlacement::start(JobSearch& search, std::uint32_t task, std::size_t machine) {
+    const auto chunk = search.entry.chunks.find(task / kChunkTasks);
+    const std::uint64_t last = chunk == search.entry.chunks.end() ? 0 : chunk->second.last_attempt;
+    search.zones.add(trial_.capacity().machines()[machine].zone);
+    trial_.start(search.entry, task, last + 1, machine);
+}
+
+}  // namespace hatchwind::core
--- /dev/null
+++ b/src/core/task_placement.hpp
@@ -0,0 +1,56 @@
+// Places the tasks of one job one by one: each starts where it fits, preempts, or waits.
+#pragma once
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+#include "core/candidate_search.hpp"
+#include "core/placement_trial.hpp"
+#include "core/preemption.hpp"
+#include "core/team_claims.hpp"
+
+namespace hatchwind::core {
+
+class TaskPlacement {
+  public:
+    TaskPlacement(PlacementTrial& trial, CandidateSearch& search, TeamClaims& claims, Preemption& preemption)
+        : trial_(trial), search_(search), claims_(claims), preemption_(preemption) {}
+
+    // As many tasks as the pass and the team's limit allow.
+    void place_all(const JobEntry& entry) { place(entry, Extent::all); }
+    // The first task of an overdue job, which waits for nobody.
+    void place_first(const JobEntry& entry) { place(entry, Extent::first); }
+
+  private:
+    enum class Extent : std::uint8_t { all, first };
+    enum class Outcome : std::uint8_t { started, waits, job_must_wait };
+    struct JobSearch {
+        const JobEntry& entry;
+        Extent extent;
+        ZoneUse& zones;
+        std::optional<double> longest_wait_s;  // what the class's objective allows
+        std::vector<CandidateScore> candidates;
+        std::size_t next = 0;  // all before it are full, or in a zone that the job may not use any more
+    };
+
+    void place(const JobEntry& entry, Extent extent);
+    Outcome place_task(JobSearch& search, std::uint32_t task);
+    bool fits(const JobSearch& search, std::size_t machine) const;
+    std::optional<std::size_t> reserved_machine(const JobSearch& search, std::uint32_t task,
+                                                const Reservation& reservation) const;
+    std::optional<std::size_t> next_candidate(JobSearch& search, std::uint32_t task) const;
+    bool image_comes_too_late(const JobSearch& search, std::size_t machine) const;
+    void start(JobSearch& search, std::uint32_t task, std::size_t machine);
+    std::optional<double> longest_wait_s(const Job& job) const;
+    ZoneUse& zones_of(const JobEntry& entry);
+
+    PlacementTrial& trial_;
+    CandidateSearch& search_;
+    TeamClaims& claims_;
+    Preemption& preemption_;
+    // Kept for the whole pass: a job that had to begin is tried twice.
+    std::unordered_map<const JobEntry*, ZoneUse> zones_;
+};
+
+}  // namespace hatchwind::core
