--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -79,8 +79,10 @@
         const bool gang = entry.job.kind == JobKind::gang;
         const std::uint32_t tasks = gang ? entry.job.tasks : 1;
         if (!trial_.within_limit(entry.job, tasks)) {
-            // The team's later jobs would take what its limit leaves, for ever.
-            trial_.charge_team(entry.job.team, entry.job.need * static_cast<double>(tasks));
+            // The team's later jobs would take what its limit leaves, for ever. Where its services alone keep
+            // this one out, waiting with it serves nobody.
+            if (trial_.within_limit_beside_services(entry.job, tasks))
+                trial_.charge_team(entry.job.team, entry.job.need * static_cast<double>(tasks));
             return;
         }
         const auto starts_before = trial_.result().starts.size();
--- a/src/core/placement_trial.cpp
+++ b/src/core/placement_trial.cpp
@@ -35,9 +35,29 @@
 }
 
 bool PlacementTrial::within_limit(const Job& job, std::uint32_t more_tasks) const {
+    const auto known = team_use_.find(job.team);
+    Amount use = known == team_use_.end() ? Amount{} : known->second;
+    if (const auto stopped = stopped_.find(job.team); stopped != stopped_.end()) use += stopped->second;
+    return fits_limit(job, use, more_tasks);
+}
+
+bool PlacementTrial::within_limit_beside_services(const Job& job, std::uint32_t more_tasks) const {
+    Amount use;
+    for (const auto& [id, entry] : input_.ledger->jobs()) {
+        const bool service = entry.job.kind == JobKind::service && !entry.job.cancelled;
+        if (service && entry.job.team == job.team) use += entry.job.need * static_cast<double>(entry.open);
+    }
+    return fits_limit(job, use, more_tasks);
+}
+
+void PlacementTrial::stop(const Job& job) {
+    team_use_[job.team] -= job.need;
+    stopped_[job.team] += job.need;
+}
+
+bool PlacementTrial::fits_limit(const Job& job, const Amount& use, std::uint32_t more_tasks) const {
     const auto team = input_.teams->find(job.team);
     if (team == input_.teams->end()) return false;
-    const Amount& use = team_use_.at(job.team);
     return use.cpus + job.need.cpus * more_tasks <= team->second.cpus_max + kSlack &&
            use.gpus + job.need.gpus * more_tasks <= team->second.gpus_max + kSlack;
 }
@@ -55,7 +75,10 @@
 
 bool PlacementTrial::listed_on(std::size_t machine, const JobEntry& entry, std::uint32_t task) const {
     const MachineView* view = capacity_.machines()[machine].view;
-    return view != nullptr && view->task(entry.job.id, task) != nullptr;
+    const TaskReport* listed = view == nullptr ? nullptr : view->task(entry.job.id, task);
+    if (listed == nullptr) return false;
+    // A gang's replacement bears the attempt number that its worker knows as exited.
+    return listed->state != TaskState::exited || entry.job.kind == JobKind::gang;
 }
 
 void PlacementTrial::take_reserved(const Reservation& reservation, double sign) {
--- a/src/core/placement_trial.hpp
+++ b/src/core/placement_trial.hpp
@@ -23,11 +23,15 @@
 
     // The pass has as many starts, or touches as many store records, as its input allows.
     bool full() const;
+    // Counts what this pass stops: it is on its machine until the worker says that it is gone.
     bool within_limit(const Job& job, std::uint32_t more_tasks = 1) const;
-    // Of a team of the input: its recorded attempts and this pass's decisions.
+    // The same with nothing running but the team's services, which run until somebody cancels them.
+    bool within_limit_beside_services(const Job& job, std::uint32_t more_tasks) const;
+    // Of a team of the input: its recorded attempts and this pass's decisions, less what it stops.
     const Amount& team_use(const std::string& team) const { return team_use_.at(team); }
     void charge_team(const std::string& team, const Amount& amount) { team_use_[team] += amount; }
-    void credit_team(const std::string& team, const Amount& amount) { team_use_[team] -= amount; }
+    // A running task of that job is told to stop.
+    void stop(const Job& job);
 
     // CPUs that this pass has not given away yet.
     double free_spot_cpus() const { return free_spot_cpus_; }
@@ -35,7 +39,8 @@
 
     void start(const JobEntry& entry, std::uint32_t task, std::uint64_t attempt, std::size_t machine);
     bool started(const TaskRef& task) const { return started_.contains(task); }
-    // An attempt of this task that is still listed there would make the worker refuse the start.
+    // An attempt of this task that is still on the machine would make the worker refuse the start. One that
+    // has exited is listed until its reap, which may take long when a copy of its start is under way.
     bool listed_on(std::size_t machine, const JobEntry& entry, std::uint32_t task) const;
 
     void hold(const Reservation& reservation) { take_reserved(reservation, 1.0); }
@@ -52,6 +57,7 @@
     void roll_back(const Savepoint& savepoint);
 
   private:
+    bool fits_limit(const Job& job, const Amount& use, std::uint32_t more_tasks) const;
     void take_reserved(const Reservation& reservation, double sign);
     void hold_known_reservations();
     void count_free_cpus();
@@ -60,6 +66,7 @@
     FreeCapacity& capacity_;
     PlacementResult result_;
     std::map<std::string, Amount> team_use_;
+    std::map<std::string, Amount> stopped_;  // by team: told to stop in this pass, and not gone yet
     double free_spot_cpus_ = 0;
     double free_ordinary_cpus_ = 0;
     std::set<TaskRef> started_;
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -133,7 +133,7 @@
     double longest_grace_s = 0;
     for (Victim* victim : plan.victims) {
         const Job& stopped = victim->entry->job;
-        trial_.credit_team(stopped.team, stopped.need);
+        trial_.stop(stopped);
         victim->stopping = true;
         // A service's users wait now; anything else can wait until the victim has saved.
         const bool saves = job.kind != JobKind::service && stopped.checkpoint_s > 0;
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -131,6 +131,7 @@
     std::vector<Json> held;                       // late_commit() carries them out
     io::Micros read_latency{0};                   // of single keys
     io::Micros watch_latency{0};                  // the answer is as old as that when it arrives
+    io::Micros list_latency{0};                   // likewise a page of keys
     bool hold_watches = false;
     std::size_t writes = 0;  // puts and deletes carried out
     std::size_t conflicts = 0;
@@ -202,7 +203,9 @@
                     co_return reply(200, {{"pairs", pairs}, {"hasNext", true}, {"ledger", revision}});
                 pairs.push_back({{"path", k}, {"v", i.value}, {"stamp", i.stamp}});
             }
-            co_return reply(200, {{"pairs", pairs}, {"hasNext", false}, {"ledger", revision}});
+            auto last = reply(200, {{"pairs", pairs}, {"hasNext", false}, {"ledger", revision}});
+            if (list_latency.count() > 0) co_await loop_.sleep(list_latency);
+            co_return last;
         }
         if (q.target.starts_with("/store/")) {
             if (read_latency.count() > 0) co_await loop_.sleep(read_latency);
