--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -48,6 +48,10 @@
     }
 };
 
+// The team of a job that waits for others. No settings name it, so nobody owns, places or counts such a job,
+// and a controller of a version that does not know waiting jobs keeps it as one that is queued.
+constexpr const char* kWaitingTeam = "~waiting";
+
 struct Job {
     std::string id;
     std::string job_class;
@@ -69,9 +73,15 @@
     std::optional<double> deadline_s;
 
     Micros accepted{};  // time of day
+    // While the job waits: the jobs that have to be done first, without repeats, and the team that it will
+    // belong to. Empty for all others; the release rewrites the record.
+    std::vector<std::string> awaits;
+    std::string team_once_released;
+
     bool cancelled = false;
     Micros cancelled_at{};  // time of day
 
+    bool waiting() const { return team == kWaitingTeam; }
     std::uint32_t zone_cap() const { return spread ? (tasks + 1) / 2 : tasks; }
     bool allows_type(const std::string& type) const {
         if (!types) return true;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -409,6 +409,10 @@
     if (j.zone) v["zone"] = *j.zone;
     if (j.deadline_s) v["due"] = *j.deadline_s;
     if (j.cancelled) v["cancelled"] = j.cancelled_at.count();
+    if (j.waiting()) {
+        v["awaits"] = j.awaits;
+        v["later_team"] = j.team_once_released;
+    }
     return v;
 }
 
@@ -448,6 +452,12 @@
     }
     j.zone = text(v, "zone");
     j.deadline_s = number(v, "due");
+    j.team_once_released = text(v, "later_team").value_or("");
+    if (present(v, "awaits")) {
+        auto awaits = texts(list(v, "awaits"));
+        if (!awaits) return std::nullopt;
+        j.awaits = std::move(*awaits);
+    }
     if (const auto c = whole(v, "cancelled")) {
         j.cancelled = true;
         j.cancelled_at = core::Micros{static_cast<std::int64_t>(*c)};
