Ends remembered from the watch; no plan from a copy that lacks the node's own records

- service/final_states.hpp: each node keeps how jobs ended from the watch (Replica::note_end: the copy's last record before the deletion is the one the end was conditional on) and from its own commits.
Polls, repeated submissions and cancels of ended jobs then cost the state service nothing; a repeat used to cost a write, since a transaction whose conditions fail counts too.
- Replica::has_own_commits: a copy read anew may lack what this node committed while the list was on its way; the owner placed the same task a second time from it (a second transaction went out; only the page's stamp kept it from being carried out, and another page would have let more than the limit through).

--- /dev/null
+++ b/src/service/final_states.hpp
@@ -0,0 +1,40 @@
+// A bounded memory of how jobs ended. Final states never change, so what it holds is always right.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <string>
+#include <unordered_map>
+
+#include "wire/messages.hpp"
+
+namespace hatchwind::service {
+
+struct FinalState {
+    wire::JobStatus status = wire::JobStatus::done;
+    std::uint32_t done = 0;  // tasks, for display
+};
+
+class FinalStates {
+  public:
+    // Keeps the latest kMost of them.
+    void insert(const std::string& job, FinalState state) {
+        if (!states_.emplace(job, state).second) return;
+        order_.push_back(job);
+        if (order_.size() <= kMost) return;
+        states_.erase(order_.front());
+        order_.pop_front();
+    }
+    // Null: not remembered.
+    const FinalState* find(const std::string& job) const {
+        const auto it = states_.find(job);
+        return it == states_.end() ? nullptr : &it->second;
+    }
+
+  private:
+    static constexpr std::size_t kMost = 4000;
+    std::unordered_map<std::string, FinalState> states_;
+    std::list<std::string> order_;
+};
+
+}  // namespace hatchwind::service
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -340,6 +340,7 @@
             done += st == s.chunks.end() ? c.done.size() : st->second.chunk.done.size();
         }
         u.extra.push_back({keys::final(id), wire::final_record(status, done), 0});
+        u.ends.emplace_back(id, FinalState{status, done});
         for (auto it = s.chunks.lower_bound({id, 0}); it != s.chunks.end() && it->first.first == id;) {
             u.closed.insert(u.closed.end(), it->second.closed.begin(), it->second.closed.end());
             it = s.chunks.erase(it);
@@ -513,6 +514,7 @@
             e.stamp = revision;
             replica_.committed(e);
         }
+        for (const auto& end : unit.ends) replica_.final_states().insert(end.first, end.second);
         for (const auto& key : unit.keys) waiting_since_.erase(key);
         for (auto& c : unit.closed) to_reap_.push_back(std::move(c));
         // Recorded, so it may start; if this node is the owner no more, its order is void.
@@ -610,7 +612,9 @@
         // No copy of a transaction of an earlier epoch can be carried out any more.
         if (in_doubt_ && in_doubt_->transaction.conditions.front().second != node_.epoch.stamp)
             in_doubt_.reset();
-        // Nothing new is placed in an outage.
+        // Nothing new is placed in an outage, nor from a copy that may lack this node's own records: what
+        // they use would be placed once more
+        // (UserAnswers.AnOwnerPlansNothingFromACopyThatLacksItsOwnRecords).
         if (in_doubt_) {
             last_pass_ = steady_now() - began;
             if (node_.state.reachable(steady_now())) {
@@ -619,7 +623,7 @@
                 co_await std::move(task);
                 node_.work.notify_all();
             }
-        } else if (node_.state.reachable(steady_now())) {
+        } else if (node_.state.reachable(steady_now()) && replica_.has_own_commits()) {
             // What the budget bears within half a second, but enough for one record of each sort.
             const double spare = std::max(0.0, node_.state.spare_writes());
             const double bear = std::max(6.0, spare + node_.state.write_rate() * 0.5);
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -48,8 +48,9 @@
         int rank = 0;  // lower goes first
         std::vector<ChunkKey> keys;
         std::vector<std::pair<std::string, core::Stamp>> conditions;
-        std::vector<wire::StoreItem> effects;  // written, and then part of the copy
-        std::vector<wire::StoreItem> extra;    // written only
+        std::vector<wire::StoreItem> effects;                  // written, and then part of the copy
+        std::vector<wire::StoreItem> extra;                    // written only
+        std::vector<std::pair<std::string, FinalState>> ends;  // of jobs
         std::vector<Closed> closed;
         std::vector<Closed> started;
         std::size_t bytes = 0;
--- a/src/service/replica.cpp
+++ b/src/service/replica.cpp
@@ -79,10 +79,21 @@
     if (!ok) spdlog::error("event=bad_record key={} stamp={}", item.key, item.stamp);
 }
 
+void Replica::note_end(const std::string& id, core::Stamp deleted) {
+    const core::JobEntry* entry = node_.ledger.find(id);
+    if (entry == nullptr || entry->stamp >= deleted || wrong_) return;
+    if (entry->job.cancelled) {
+        final_states_.insert(id, {wire::JobStatus::cancelled, entry->done});
+    } else {
+        final_states_.insert(id, {wire::JobStatus::done, entry->job.tasks});
+    }
+}
+
 void Replica::committed(const wire::StoreItem& item) {
     // The answer to a commit may come long after the watch has brought the change, and its deletion too. A
     // deletion leaves no stamp that would keep the old record out: it would stay in this copy alone, and
     // every transaction that names it would fail.
+    latest_own_ = std::max(latest_own_, item.stamp);
     if (item.stamp > node_.revision) apply(item);
 }
 
@@ -108,6 +119,7 @@
     node_.draining_stamp = 0;
     for (const auto& i : all) apply(i);
     node_.revision = first;
+    own_at_load_ = latest_own_;
     node_.synced = true;
     node_.synced_wall = io::wall_now();
     node_.advanced.notify_all();
@@ -139,7 +151,10 @@
             co_await node_.loop.sleep(Micros{150'000});
             continue;
         }
-        for (const auto& i : w.page.items) apply(i);
+        for (const auto& i : w.page.items) {
+            if (!i.value && i.key.starts_with(kJob)) note_end(i.key.substr(kJob.size()), i.stamp);
+            apply(i);
+        }
         node_.revision = std::max(node_.revision, w.page.revision);
         node_.advanced.notify_all();
         if (!w.page.items.empty()) {
--- a/src/service/replica.hpp
+++ b/src/service/replica.hpp
@@ -1,6 +1,7 @@
 // Keeps the node's copy of the store up to date by one watch, and answers whether the copy is new enough.
 #pragma once
 
+#include "service/final_states.hpp"
 #include "service/node.hpp"
 
 namespace hatchwind::service {
@@ -30,13 +31,24 @@
                                   CommitResult conflict, io::Micros deadline);
     // Takes what this node has committed itself, before the watch brings it.
     void committed(const wire::StoreItem& item);
+    // False while the copy, read anew, may lack what this node has committed itself meanwhile.
+    bool has_own_commits() const { return node_.revision >= own_at_load_; }
+    // How jobs ended that this node has seen end.
+    FinalStates& final_states() { return final_states_; }
 
   private:
+    // Before the deletion of a job's record is applied. The watch brings all changes in order, and the end is
+    // conditional on the record as it stood: so the copy's record, which is the last before the end, says how
+    // the job ended.
+    void note_end(const std::string& id, core::Stamp deleted);
     void apply(const wire::StoreItem& item);
     io::Task<bool> load();
     // 0: the copy has no such record.
     core::Stamp stamp_of(std::string_view key) const;
     Node& node_;
+    FinalStates final_states_;
+    core::Stamp latest_own_ = 0;   // latest commit of this node
+    core::Stamp own_at_load_ = 0;  // as it was when the copy was last read anew
     io::Signal read_done_;
     bool reading_ = false;    // one is under way, or waits for its turn
     bool read_sent_ = false;  // it has been sent: it serves nobody who comes now
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -15,7 +15,6 @@
 
 constexpr std::size_t kSubmitting = 64;
 constexpr std::size_t kPolling = 256;
-constexpr std::size_t kFinalsKept = 1000;
 constexpr std::size_t kJsonLimit = 64 * 1024;
 
 HttpResponse plain(int status) {
@@ -82,10 +81,10 @@
     return with_body(status, wire::job_answer(e.job.id, s, e.done, running));
 }
 
-Task<UsersApi::Lookup> UsersApi::find_final(std::string id, Final& into, core::Stamp& revision,
+Task<UsersApi::Lookup> UsersApi::find_final(std::string id, FinalState& into, core::Stamp& revision,
                                             Micros deadline) {
-    if (const auto it = finals_.find(id); it != finals_.end()) {
-        into = it->second;
+    if (const FinalState* known = replica_.final_states().find(id)) {
+        into = *known;
         co_return Lookup::found;
     }
     auto task = node_.state.get(keys::final(id), deadline);
@@ -96,18 +95,12 @@
     const auto f = wire::parse_final_record(*r.value);
     if (!f) co_return Lookup::failed;
     into = {f->first, f->second};
-    if (finals_.emplace(id, into).second) {
-        final_order_.push_back(id);
-        if (final_order_.size() > kFinalsKept) {
-            finals_.erase(final_order_.front());
-            final_order_.pop_front();
-        }
-    }
+    replica_.final_states().insert(id, into);
     co_return Lookup::found;
 }
 
 Task<UsersApi::Lookup> UsersApi::current_state(std::string id, HttpResponse& answer, Micros deadline) {
-    if (node_.ledger.find(id) != nullptr) {
+    if (replica_.final_states().find(id) == nullptr && node_.ledger.find(id) != nullptr) {
         auto index = replica_.caught_up(deadline);
         const bool current = co_await std::move(index);
         if (!current) co_return Lookup::failed;
@@ -119,7 +112,7 @@
     // Final states never change, so one read serves what has ended. With a read index before it, a slow state
     // service took longer than users wait, and only they were never answered
     // (UserAnswers.AnEndedJobIsAnsweredWhileTheStateServiceIsSlow).
-    Final final_state{};
+    FinalState final_state;
     core::Stamp revision = 0;
     auto first = find_final(id, final_state, revision, deadline);
     Lookup found = co_await std::move(first);
@@ -142,7 +135,8 @@
 }
 
 Task<HttpResponse> UsersApi::refuse_unless_accepted(std::string id, HttpResponse refusal) {
-    if (!finals_.contains(id) && (!node_.synced || !node_.state.reachable(steady_now())))
+    if (replica_.final_states().find(id) == nullptr &&
+        (!node_.synced || !node_.state.reachable(steady_now())))
         co_return retry_later();
     HttpResponse answer;
     auto lookup = current_state(id, answer, steady_now() + Micros{2'500'000});
@@ -176,7 +170,7 @@
     const std::string id = job.id;
     // What was accepted once is neither refused nor accepted anew, whatever the settings and the catalog say
     // of it by now.
-    const bool known = finals_.contains(id) || node_.ledger.find(id) != nullptr;
+    const bool known = replica_.final_states().find(id) != nullptr || node_.ledger.find(id) != nullptr;
     const std::optional<std::string> why = known || !node_.catalog ? std::nullopt : impossible(job);
     if (known || !node_.catalog || why) {
         HttpResponse refusal = why ? with_body(422, {{"error", *why}}) : retry_later();
@@ -212,7 +206,7 @@
     const bool reached = co_await std::move(reach);
     if (!reached) co_return retry_later();
     if (const auto* entry = node_.ledger.find(id)) co_return describe(*entry, 200);
-    Final f{};
+    FinalState f;
     core::Stamp revision = 0;
     auto lookup = find_final(id, f, revision, deadline);
     const Lookup found = co_await std::move(lookup);
@@ -222,9 +216,8 @@
 
 Task<HttpResponse> UsersApi::poll(std::string id) {
     if (!wire::is_job_id(id)) co_return plain(404);
-    if (const auto it = finals_.find(id); it != finals_.end()) {
-        co_return with_body(200, wire::job_answer(id, it->second.status, it->second.done, 0));
-    }
+    if (const FinalState* ended = replica_.final_states().find(id))
+        co_return with_body(200, wire::job_answer(id, ended->status, ended->done, 0));
     if (polling_ >= kPolling) co_return retry_later(429);
     const Counted counted{polling_};
     if (!node_.synced || !node_.state.reachable(steady_now())) co_return retry_later();
@@ -237,6 +230,8 @@
 
 Task<HttpResponse> UsersApi::cancel(std::string id) {
     if (!wire::is_job_id(id)) co_return plain(404);
+    if (const FinalState* ended = replica_.final_states().find(id))
+        co_return with_body(200, wire::job_answer(id, ended->status));
     if (submitting_ >= kSubmitting) co_return retry_later(429);
     const Counted counted{submitting_};
     if (!node_.synced || !node_.state.reachable(steady_now())) co_return retry_later();
@@ -250,7 +245,7 @@
             e = node_.ledger.find(id);
         }
         if (e == nullptr) {
-            Final f{};
+            FinalState f;
             core::Stamp revision = 0;
             auto lookup = find_final(id, f, revision, deadline);
             const Lookup found = co_await std::move(lookup);
--- a/src/service/users_api.hpp
+++ b/src/service/users_api.hpp
@@ -1,9 +1,7 @@
 // The users' interface: submit, poll, cancel, health.
 #pragma once
 
-#include <list>
 #include <optional>
-#include <unordered_map>
 
 #include "service/node.hpp"
 #include "service/replica.hpp"
@@ -19,13 +17,9 @@
     io::HttpResponse health() const;
 
   private:
-    struct Final {
-        wire::JobStatus status;
-        std::uint32_t done;
-    };
     enum class Lookup : std::uint8_t { found, absent, failed };
     // `revision`, after `absent`: of the store when it held no final state of the job.
-    io::Task<Lookup> find_final(std::string id, Final& into, core::Stamp& revision, io::Micros deadline);
+    io::Task<Lookup> find_final(std::string id, FinalState& into, core::Stamp& revision, io::Micros deadline);
     // The state of a job at a moment after the call, and certainty when it was never accepted.
     io::Task<Lookup> current_state(std::string id, io::HttpResponse& answer, io::Micros deadline);
     // `refusal`, unless the job was accepted before: then its state.
@@ -37,9 +31,6 @@
     Replica& replica_;
     std::size_t submitting_ = 0;
     std::size_t polling_ = 0;
-    // Final answers never change, so a bounded memory of them is always right.
-    std::unordered_map<std::string, Final> finals_;
-    std::list<std::string> final_order_;
 };
 
 }  // namespace hatchwind::service
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -132,6 +132,8 @@
     io::Micros read_latency{0};                   // of single keys
     io::Micros watch_latency{0};                  // the answer is as old as that when it arrives
     bool hold_watches = false;
+    io::Micros list_latency{0};  // the answer is as old as that when it arrives
+    std::size_t lists = 0;
     std::size_t writes = 0;  // puts and deletes carried out
     std::size_t conflicts = 0;
 
@@ -196,13 +198,17 @@
         const auto body = wire::decode(q.body);
         if (q.target.starts_with("/store?")) {
             Json pairs = Json::array();
+            bool more = false;
             for (const auto& [k, i] : items) {
                 if (!k.starts_with(query(q.target, "starts")) || k <= query(q.target, "after")) continue;
-                if (pairs.size() == page)
-                    co_return reply(200, {{"pairs", pairs}, {"hasNext", true}, {"ledger", revision}});
+                more = pairs.size() == page;
+                if (more) break;
                 pairs.push_back({{"path", k}, {"v", i.value}, {"stamp", i.stamp}});
             }
-            co_return reply(200, {{"pairs", pairs}, {"hasNext", false}, {"ledger", revision}});
+            auto out = reply(200, {{"pairs", pairs}, {"hasNext", more}, {"ledger", revision}});
+            ++lists;
+            if (list_latency.count() > 0) co_await loop_.sleep(list_latency);
+            co_return out;
         }
         if (q.target.starts_with("/store/")) {
             if (read_latency.count() > 0) co_await loop_.sleep(read_latency);
--- a/tests/user_answers_test.cpp
+++ b/tests/user_answers_test.cpp
@@ -340,6 +340,20 @@
             auto waiting = s.until(reached);
             co_await std::move(waiting);
         }
+        // Nodes that have not seen it end.
+        for (const std::size_t node : {0U, 1U}) {
+            s.kill(node);
+            s.start(node);
+        }
+        for (const std::size_t node : {0U, 1U}) {
+            int status = 0;
+            while (status != 200) {
+                co_await s.loop.sleep(Micros{100'000});
+                auto call = s.call(node, "GET", "/api/jobs/req-2", nullptr);
+                const auto answer = co_await std::move(call);
+                status = answer.first;
+            }
+        }
         s.state.read_latency = Micros{860'000};
         for (const std::size_t node : {0U, 1U}) {
             for (const char* id : {"req-2", "req-1"}) {
@@ -492,6 +506,121 @@
     });
 }
 
+// The store is read anew while a record of this node is on its way: the new copy lacks it until the watch
+// brings it.
+TEST(UserAnswers, AnOwnerPlansNothingFromACopyThatLacksItsOwnRecords) {
+    Site site{1};
+    site.world.endless = {"req-2"};
+    site.play([](Site& s) -> Task<void> {
+        {
+            auto step = s.submit("req-1", "x", "sweep", 1);
+            co_await std::move(step);
+        }
+        {
+            auto step = s.until_status("req-1", "done");
+            co_await std::move(step);
+        }
+        const auto starts = [](const Json& t) {
+            return t["writes"].dump().find("req-2/0") != std::string::npos;
+        };
+        bool refuse = true;
+        std::size_t records = 0;
+        s.state.treat = [&](const Json& t) {
+            if (!starts(t)) return Treatment::carry_out;
+            if (refuse) return Treatment::refuse;
+            ++records;
+            return Treatment::carry_out;
+        };
+        {
+            auto step = s.submit("req-2", "x", "sweep", 1);
+            co_await std::move(step);
+        }
+        const std::size_t lists = s.state.lists;
+        s.state.list_latency = Micros{700'000};
+        s.state.oldest = s.state.revision + 1;
+        s.state.late_commit(
+            {{"when", Json::array()}, {"writes", Json::array({Json{{"write", "h/other"}, {"v", 1}}})}});
+        {
+            const std::function<bool()> reached = [&] { return s.state.lists > lists; };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        refuse = false;
+        s.state.hold_watches = true;
+        {
+            const std::function<bool()> reached = [&] { return s.world.running.contains("req-2/0"); };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        EXPECT_EQ(records, 1U);
+        co_await s.loop.sleep(Micros{1'700'000});
+        EXPECT_EQ(records, 1U) << "planned without its own record";
+        s.state.hold_watches = false;
+        s.state.treat = nullptr;
+        {
+            auto step = s.submit("req-3", "x", "sweep", 1);
+            co_await std::move(step);
+        }
+        auto step = s.until_status("req-3", "done");
+        co_await std::move(step);
+    });
+}
+
+// How a job ended needs no state service once the node has seen it end, and costs it nothing.
+TEST(UserAnswers, EndedJobsAreAnsweredByEveryNodeWithoutTheStateService) {
+    Site site{3};
+    site.play([](Site& s) -> Task<void> {
+        constexpr int jobs = 12;
+        for (int i = 0; i < jobs; ++i) {
+            const std::string id = "req-" + std::to_string(i);
+            const std::string team = i % 3 == 0 ? "x" : i % 3 == 1 ? "y" : "z";
+            {
+                auto step = s.submit(id, team, "sweep", 2);
+                co_await std::move(step);
+            }
+            if (i % 2 == 0) continue;
+            std::string target = "/api/jobs/" + id + "/cancel";
+            auto cancel = s.insist("POST", std::move(target), nullptr, {200});
+            co_await std::move(cancel);
+        }
+        {
+            const std::function<bool()> reached = [&] {
+                for (int i = 0; i < jobs; ++i) {
+                    if (!s.state.items.contains("f/req-" + std::to_string(i))) return false;
+                }
+                return true;
+            };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        co_await s.loop.sleep(Micros{500'000});
+        s.state.down = true;
+        co_await s.loop.sleep(Micros{100'000});
+        std::map<std::string, int> ends;
+        for (int i = 0; i < jobs; ++i) {
+            const std::string id = "req-" + std::to_string(i);
+            const Json wanted = s.state.items.at("f/" + id).value["s"];
+            ++ends[wanted];
+            const Json body = Site::submission(id, "x", "sweep", 2);
+            const std::vector<std::tuple<std::string, std::string, Json>> questions{
+                {"GET", "/api/jobs/" + id, nullptr},
+                {"POST", "/api/jobs", body},
+                {"POST", "/api/jobs/" + id + "/cancel", nullptr}};
+            for (const std::size_t node : {0U, 1U, 2U}) {
+                for (const auto& [method, target, content] : questions) {
+                    auto call = s.call(node, method, target, content);
+                    const auto answer = co_await std::move(call);
+                    EXPECT_EQ(answer.first, 200) << method << " " << target << " at node " << node;
+                    EXPECT_EQ(answer.second.value("status", ""), wanted) << method << " " << target;
+                }
+            }
+        }
+        EXPECT_GT(ends["done"], 0);
+        EXPECT_GT(ends["cancelled"], 0);
+        s.state.down = false;
+    });
+}
+
 // Jobs that lack a field, or have one of a wrong kind, or can never run, are never accepted at any node.
 TEST(UserAnswers, JobsThatLackAFieldOrCanNeverRunAreNotAccepted) {
     Site site{2};
