Test of a copy read anew: beyond the team's limit without the node's own records

This form fails without the guard (Replica::has_own_commits): the owner sent a start of another job that its team's limit had no room for.

--- a/tests/user_answers_test.cpp
+++ b/tests/user_answers_test.cpp
@@ -520,23 +520,30 @@
             auto step = s.until_status("req-1", "done");
             co_await std::move(step);
         }
-        const auto starts = [](const Json& t) {
-            return t["writes"].dump().find("req-2/0") != std::string::npos;
-        };
         bool refuse = true;
-        std::size_t records = 0;
+        bool beyond = false;
         s.state.treat = [&](const Json& t) {
-            if (!starts(t)) return Treatment::carry_out;
-            if (refuse) return Treatment::refuse;
-            ++records;
-            return Treatment::carry_out;
+            const std::string writes = t["writes"].dump();
+            beyond = beyond || writes.find("req-3/0") != std::string::npos;
+            const bool starts = writes.find("req-2/0") != std::string::npos;
+            return refuse && starts ? Treatment::refuse : Treatment::carry_out;
         };
+        // Nearly the team's limit, with room beside it on the machines.
         {
-            auto step = s.submit("req-2", "x", "sweep", 1);
+            Json body = Site::submission("req-2", "x", "sweep", 17);
+            body["cores"] = 0.9;
+            body["expectS"] = 1000.0;
+            auto step = s.insist("POST", "/api/jobs", body, {200, 201});
             co_await std::move(step);
         }
+        {
+            const std::function<bool()> reached = [&] { return s.cloud.workers.size() >= 5; };
+            auto waiting = s.until(reached);
+            co_await std::move(waiting);
+        }
+        co_await s.loop.sleep(Micros{1'000'000});
         const std::size_t lists = s.state.lists;
-        s.state.list_latency = Micros{700'000};
+        s.state.list_latency = Micros{1'800'000};
         s.state.oldest = s.state.revision + 1;
         s.state.late_commit(
             {{"when", Json::array()}, {"writes", Json::array({Json{{"write", "h/other"}, {"v", 1}}})}});
@@ -547,22 +554,18 @@
         }
         refuse = false;
         s.state.hold_watches = true;
+        co_await s.loop.sleep(Micros{1'900'000});
+        EXPECT_EQ(s.world.running.size(), 17U);
         {
-            const std::function<bool()> reached = [&] { return s.world.running.contains("req-2/0"); };
-            auto waiting = s.until(reached);
-            co_await std::move(waiting);
+            Json body = Site::submission("req-3", "x", "sweep", 1);
+            body["cores"] = 0.8;
+            auto step = s.insist("POST", "/api/jobs", body, {200, 201});
+            co_await std::move(step);
         }
-        EXPECT_EQ(records, 1U);
-        co_await s.loop.sleep(Micros{1'700'000});
-        EXPECT_EQ(records, 1U) << "planned without its own record";
+        co_await s.loop.sleep(Micros{900'000});
+        EXPECT_FALSE(beyond) << "planned without its own records, beyond the team's limit";
         s.state.hold_watches = false;
         s.state.treat = nullptr;
-        {
-            auto step = s.submit("req-3", "x", "sweep", 1);
-            co_await std::move(step);
-        }
-        auto step = s.until_status("req-3", "done");
-        co_await std::move(step);
     });
 }
 
