--- a/src/service/replica.cpp
+++ b/src/service/replica.cpp
@@ -79,10 +79,22 @@
     if (!ok) spdlog::error("event=bad_record key={} stamp={}", item.key, item.stamp);
 }
 
+void Replica::note_end(const std::string& id, core::Stamp deleted) {
+    const core::JobEntry* entry = node_.ledger.find(id);
+    if (entry == nullptr || entry->stamp >= deleted || wrong_) return;
+    // A job that waits for others can only end by a cancellation.
+    if (entry->job.cancelled || entry->job.waiting()) {
+        final_states_.insert(id, {wire::JobStatus::cancelled, entry->done});
+    } else {
+        final_states_.insert(id, {wire::JobStatus::done, entry->job.tasks});
+    }
+}
+
 void Replica::committed(const wire::StoreItem& item) {
     // The answer to a commit may come long after the watch has brought the change, and its deletion too. A
     // deletion leaves no stamp that would keep the old record out: it would stay in this copy alone, and
     // every transaction that names it would fail.
+    latest_own_ = std::max(latest_own_, item.stamp);
     if (item.stamp <= node_.revision) return;
     apply(item);
     if (loading_) committed_while_loading_.push_back(item);
@@ -124,6 +136,7 @@
     loading_ = false;
     node_.revision = first;
     node_.take_cancels(told);
+    own_at_load_ = latest_own_;
     node_.synced = true;
     node_.synced_wall = io::wall_now();
     node_.advanced.notify_all();
@@ -155,7 +168,10 @@
             co_await node_.loop.sleep(Micros{150'000});
             continue;
         }
-        for (const auto& i : w.page.items) apply(i);
+        for (const auto& i : w.page.items) {
+            if (!i.value && i.key.starts_with(kJob)) note_end(i.key.substr(kJob.size()), i.stamp);
+            apply(i);
+        }
         node_.revision = std::max(node_.revision, w.page.revision);
         node_.advanced.notify_all();
         if (!w.page.items.empty()) {
