Owner: settlement, order dispatch, placement round, page writing and group commit are modules

Change: a module for each step, and owner.cpp is the loop that joins them. Ranks of writes are an enum, stray attempts a type. Log events, orders and records are as they were; behaviour is meant to be the same.

--- /dev/null
+++ b/src/service/attempt_page_writer.cpp
@@ -0,0 +1,132 @@
+#include "service/attempt_page_writer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "service/page_assignment.hpp"
+#include "service/replica.hpp"
+
+namespace hatchwind::service {
+
+using io::Micros;
+
+namespace {
+constexpr Micros kCompletionsWait{4'000'000};
+// The JSON form's bytes, about.
+constexpr std::size_t kFinishBytes = 300;
+constexpr std::size_t kChunkBytes = 60;
+constexpr std::size_t kAttemptBytes = 14;  // beside the machine's name
+constexpr std::size_t kRangeBytes = 8;
+
+template <typename T>
+void append(std::vector<T>& to, const std::vector<T>& from) {
+    to.insert(to.end(), from.begin(), from.end());
+}
+
+std::size_t json_bytes(const core::ChunkKey& key, const core::Chunk& chunk, std::size_t longest_name) {
+    return kChunkBytes + key.first.size() + chunk.open.size() * (longest_name + kAttemptBytes) +
+           chunk.done.ranges().size() * kRangeBytes;
+}
+}  // namespace
+
+std::vector<WriteUnit> AttemptPageWriter::units(StagedRecords& staged) {
+    std::vector<WriteUnit> units;
+    const Micros now = io::steady_now();
+    const JobSet ending(staged.finished.begin(), staged.finished.end());
+    for (const auto& job : staged.finished) units.push_back(finish_unit(job, staged));
+    std::erase_if(waiting_since_, [&](const auto& chunk) { return !staged.chunks.contains(chunk.first); });
+    if (staged.chunks.empty()) return units;
+    for (const auto& [page, chunks] : assign_pages(node_, staged, ending))
+        units.push_back(page_unit(page, chunks, staged, ending, now));
+    std::stable_sort(units.begin(), units.end(),
+                     [](const WriteUnit& left, const WriteUnit& right) { return left.rank < right.rank; });
+    return units;
+}
+
+void AttemptPageWriter::written(const std::vector<core::ChunkKey>& chunks) {
+    for (const auto& key : chunks) waiting_since_.erase(key);
+}
+
+// The end state replaces the job's record in one step. What its pages say of it leaves with their next
+// writes.
+WriteUnit AttemptPageWriter::finish_unit(const std::string& job, StagedRecords& staged) const {
+    const core::JobEntry& entry = *node_.ledger.find(job);
+    const auto status = entry.job.cancelled ? wire::JobStatus::cancelled : wire::JobStatus::done;
+    WriteUnit unit;
+    unit.rank = WriteRank::urgent;
+    unit.bytes = kFinishBytes;
+    unit.conditions.emplace_back(keys::job(job), entry.stamp);
+    unit.effects.push_back({keys::job(job), std::nullopt, 0});
+    std::uint32_t done = 0;
+    for (const auto& [index, chunk] : entry.chunks) {
+        const auto record = staged.chunks.find({job, index});
+        done += record == staged.chunks.end() ? chunk.done.size() : record->second.chunk.done.size();
+    }
+    unit.extra.push_back({keys::final(job), wire::final_record(status, done), 0});
+    auto record = staged.chunks.lower_bound({job, 0});
+    while (record != staged.chunks.end() && record->first.first == job) {
+        append(unit.closed, record->second.closed);
+        record = staged.chunks.erase(record);
+    }
+    return unit;
+}
+
+AttemptPageWriter::PageContent AttemptPageWriter::known_content(const core::AttemptPageKey& page,
+                                                                const JobSet& ending) const {
+    PageContent content;
+    const auto known = node_.ledger.pages().find(page);
+    if (known == node_.ledger.pages().end()) return content;
+    for (const auto& chunk : known->second.chunks) {
+        const core::JobEntry* entry = node_.ledger.find(chunk.first);
+        if (entry == nullptr || ending.contains(chunk.first)) continue;
+        content[chunk] = &entry->chunks.at(chunk.second);
+    }
+    return content;
+}
+
+WriteUnit AttemptPageWriter::page_unit(const core::AttemptPageKey& page,
+                                       const std::vector<core::ChunkKey>& chunks, const StagedRecords& staged,
+                                       const JobSet& ending, Micros now) {
+    WriteUnit unit;
+    unit.rank = WriteRank::lowest;
+    const auto known = node_.ledger.pages().find(page);
+    const core::Stamp stamp = known == node_.ledger.pages().end() ? 0 : known->second.stamp;
+    unit.conditions.emplace_back(keys::page(page), stamp);
+    PageContent content = known_content(page, ending);
+    for (const auto& key : chunks) {
+        const ChunkRecord& record = staged.chunks.at(key);
+        add_chunk(unit, key, record, now);
+        content[key] = &record.chunk;
+    }
+    const std::size_t longest_name = node_.picture.longest_name();
+    for (const auto& [key, chunk] : content) unit.bytes += json_bytes(key, *chunk, longest_name);
+    unit.effects.push_back({keys::page(page), wire::page_record(content), 0});
+    return unit;
+}
+
+void AttemptPageWriter::add_chunk(WriteUnit& unit, const core::ChunkKey& key, const ChunkRecord& record,
+                                  Micros now) {
+    const core::JobEntry& entry = *node_.ledger.find(key.first);
+    const bool production = entry.job.priority == core::Priority::production;
+    unit.rank = std::min(unit.rank, rank_of(key, record, production, now));
+    if (!record.started.empty()) {
+        // A cancel that comes first must keep the start from being recorded; and so must the job's end.
+        const std::pair<std::string, core::Stamp> condition{keys::job(key.first), entry.stamp};
+        if (unit.conditions.back() != condition) unit.conditions.push_back(condition);
+    }
+    unit.chunks.push_back(key);
+    append(unit.closed, record.closed);
+    append(unit.started, record.started);
+}
+
+WriteRank AttemptPageWriter::rank_of(const core::ChunkKey& key, const ChunkRecord& record, bool production,
+                                     Micros now) {
+    if (!record.started.empty()) return production ? WriteRank::production : WriteRank::start;
+    // Ends of tasks alone are told by the worker until they are reaped. They wait for company, since each
+    // write of a page counts the same however much it says.
+    const Micros since = waiting_since_.try_emplace(key, now).first->second;
+    if (record.urgent) return production ? WriteRank::production : WriteRank::urgent;
+    return now - since > kCompletionsWait ? WriteRank::overdue_completion : WriteRank::completion;
+}
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/attempt_page_writer.hpp
@@ -0,0 +1,41 @@
+// Groups staged records into units to be written: one for each job that is over, one for each attempt page.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "service/node.hpp"
+#include "service/staged_records.hpp"
+#include "service/write_unit.hpp"
+
+namespace hatchwind::service {
+
+class AttemptPageWriter {
+  public:
+    explicit AttemptPageWriter(const Node& node) : node_(node) {}
+
+    // Most pressing first. Takes the records of finished jobs out of `staged`, and gives chunks their pages.
+    std::vector<WriteUnit> units(StagedRecords& staged);
+    // The chunks are written.
+    void written(const std::vector<core::ChunkKey>& chunks);
+    void start_epoch() { waiting_since_.clear(); }
+
+  private:
+    using JobSet = std::set<std::string>;
+    using PageContent = std::map<core::ChunkKey, const core::Chunk*>;
+
+    WriteUnit finish_unit(const std::string& job, StagedRecords& staged) const;
+    WriteUnit page_unit(const core::AttemptPageKey& page, const std::vector<core::ChunkKey>& chunks,
+                        const StagedRecords& staged, const JobSet& ending, io::Micros now);
+    // What the page has now, the jobs apart that end.
+    PageContent known_content(const core::AttemptPageKey& page, const JobSet& ending) const;
+    void add_chunk(WriteUnit& unit, const core::ChunkKey& key, const ChunkRecord& record, io::Micros now);
+    WriteRank rank_of(const core::ChunkKey& key, const ChunkRecord& record, bool production, io::Micros now);
+
+    const Node& node_;
+    std::map<core::ChunkKey, io::Micros> waiting_since_;  // completions that wait for company; steady
+};
+
+}  // namespace hatchwind::service
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -1,10 +1,14 @@
-// The duty of a team's owner: settles attempts, places tasks, records both ahead of every order.
+// The duty of a team's owner: settles attempts, places tasks, records both ahead of every order. This is the
+// loop; the steps are modules of their own.
 #pragma once
 
-#include <map>
-#include <set>
-
+#include "service/attempt_page_writer.hpp"
+#include "service/attempt_settlement.hpp"
+#include "service/failure_records.hpp"
+#include "service/group_commit.hpp"
 #include "service/node.hpp"
+#include "service/order_dispatch.hpp"
+#include "service/placement_round.hpp"
 #include "service/replica.hpp"
 #include "service/workers.hpp"
 
@@ -12,102 +16,46 @@
 
 class Owner {
   public:
-    Owner(Node& n, Replica& r, Workers& w) : node_(n), replica_(r), workers_(w) {}
+    Owner(Node& node, Replica& replica, Workers& workers)
+        : node_(node),
+          dispatch_(node, workers),
+          failures_(node),
+          settlement_(node, dispatch_, failures_),
+          placement_(node, dispatch_, failures_),
+          pages_(node),
+          commit_(node, replica, pages_, dispatch_) {}
     io::Task<void> run();
 
   private:
-    struct Memo {
-        std::uint64_t number = 0;
-        io::Micros last_start{0};
-        io::Micros last_stop{0};
-    };
-    struct FailureRecord {
-        int errors = 0;
-        io::Micros until{0};
-        std::set<std::string> jobs;
-    };
-    struct Closed {
-        std::string job;
-        std::uint32_t task;
-        core::Attempt attempt;
-    };
-    using ChunkKey = core::ChunkKey;
-    // A chunk as it will be, and what made it so.
-    struct Record {
-        core::Chunk chunk;
-        std::vector<Closed> closed;
-        std::vector<Closed> started;
-        bool urgent = false;  // a task waits for this record to start again
-    };
-    struct Staged {
-        std::map<ChunkKey, Record> chunks;
-        std::vector<std::string> finished;
-    };
-    // What is written together or not at all.
-    struct Unit {
-        int rank = 0;  // lower goes first
-        std::vector<ChunkKey> keys;
-        std::vector<std::pair<std::string, core::Stamp>> conditions;
-        std::vector<wire::StoreItem> effects;  // written, and then part of the copy
-        std::vector<wire::StoreItem> extra;    // written only
-        std::vector<Closed> closed;
-        std::vector<Closed> started;
-        std::size_t bytes = 0;
-    };
-
-    void settle(Staged& s);
-    // What is the same for all attempts on one machine.
-    struct Place {
-        const core::MachineView* view = nullptr;  // null: not in the picture
-        bool quiet = false;                       // without news for so long that its leases may have ended
-        io::Micros now{0};                        // steady
-    };
-    Place look_at(const core::MachineView* view, io::Micros now) const;
-    // True when there is nothing to do for it before its machine, its record or its job changes.
-    bool settle_attempt(Staged& s, const core::JobEntry& e, std::uint32_t task, const core::Attempt& a,
-                        const Place& at);
-    void settle_machines(Staged& s);
-    void settle_cancelled(Staged& s);
-    void note_exit(const core::JobEntry& e, const core::Attempt& a, core::ExitCause cause);
-    void close(Staged& s, const core::JobEntry& e, std::uint32_t chunk, std::uint32_t task,
-               const core::Attempt& a, bool done);
-    Record& stage(Staged& s, const core::JobEntry& e, std::uint32_t chunk);
-    // Returns how many jobs were left for another pass.
-    std::size_t place(Staged& s, std::size_t records);
-    std::vector<Unit> units(Staged& s);
-    // False when the pass must begin anew.
-    io::Task<bool> commit(std::vector<Unit> all);
-    void reap();
-    void stop(const std::string& job, std::uint32_t task, const core::Attempt& a, double grace_s,
-              io::Micros every);
+    // Writes that the store's budget bears now.
+    struct WriteBudget {
+        double spare = 0;  // unused so far
+        double bear = 0;   // within half a second
+    };
+    struct PassWrites {
+        std::vector<WriteUnit> units;
+        double planned = 0;
+        double left_out = 0;       // for want of budget
+        std::size_t deferred = 0;  // jobs left for another pass
+        double spare = 0;
+    };
+    void start_epoch();
+    io::Task<void> pass();
+    io::Task<void> erase_unused_pages();
+    WriteBudget write_budget();
+    // Places, and picks the units that the budget bears.
+    PassWrites plan_writes(StagedRecords& staged);
 
     Node& node_;
-    Replica& replica_;
-    Workers& workers_;
-    // Machines with recorded attempts as the last pass left them, in order: most are as they were, and
-    // looking at every attempt in every pass took half of a node's time.
-    struct Settled {
-        std::string machine;
-        std::uint64_t session = 0;
-        std::uint64_t content_tick = 0;
-        std::uint64_t version = 0;
-        bool calm = false;  // nothing to do before one of these changes
-    };
-    std::vector<Settled> settled_;
-    std::vector<Settled> spare_settled_;  // its memory serves the next pass
-    std::map<core::TaskRef, Memo> memos_;
-    std::map<std::string, FailureRecord> machine_failures_;
-    std::map<std::string, FailureRecord> job_failures_;
-    std::map<core::TaskRef, core::Reservation> reservations_;
-    std::map<core::TaskRef, io::Micros> announced_;  // until when the others know of a reservation
-    std::map<core::TaskRef, io::Micros> stopping_;   // until when a stop for room may take
-    std::vector<Closed> to_reap_;
-    std::map<ChunkKey, io::Micros> waiting_since_;  // ends that wait for company
-    io::Micros last_pass_{0};
-    std::map<std::tuple<std::string, std::string, std::uint32_t, std::uint64_t>, std::uint64_t> strays_;
+    OrderDispatch dispatch_;
+    FailureRecords failures_;
+    AttemptSettlement settlement_;
+    PlacementRound placement_;
+    AttemptPageWriter pages_;
+    GroupCommit commit_;
+    io::Micros last_pass_{0};  // how long it took
     std::uint64_t epoch_seen_ = 0;
-    io::Micros last_sweep_{0};
-    io::Micros last_emptied_{0};
+    io::Micros last_erased_{0};  // steady
 };
 
 }  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/page_assignment.cpp
@@ -0,0 +1,117 @@
+#include "service/page_assignment.hpp"
+
+#include <algorithm>
+#include <optional>
+
+namespace hatchwind::service {
+
+namespace {
+
+// A page is written and read whole on every node for each change: larger ones save writes and cost time. So
+// much may be read a second by a node with a whole core, at the store's full rate of writes; a small node
+// with 14 KiB to each page spent its time on reading.
+constexpr double kReadBytes = 2.4e6;
+constexpr std::size_t kLeastPageBytes = std::size_t{5} * 1024;
+// The JSON form's bytes, at the most.
+constexpr std::size_t kChunkBytes = 90;
+constexpr std::size_t kAttemptBytes = 20;  // beside the machine's name
+constexpr std::size_t kDoneBytes = 10;
+
+std::size_t page_bytes(const Settings& settings) {
+    const auto affordable =
+        static_cast<std::size_t>(kReadBytes * settings.cpu_share / settings.state_write_rps);
+    return std::min(std::max(affordable, kLeastPageBytes), settings.value_bytes());
+}
+
+class PageAssignment {
+  public:
+    using Pages = std::map<core::AttemptPageKey, std::vector<core::ChunkKey>>;
+
+    PageAssignment(const Node& node, const std::set<std::string>& ending)
+        : node_(node), capacity_(page_bytes(node.settings)), longest_name_(node.picture.longest_name()) {
+        for (const auto& [key, page] : node.ledger.pages()) {
+            if (node.owns(key.first)) load_[key] = load_of(page, ending);
+        }
+    }
+
+    Pages assign(StagedRecords& staged) {
+        for (const auto& [key, record] : staged.chunks) {
+            if (record.chunk.page == 0) continue;
+            touched_[{node_.ledger.find(key.first)->job.team, record.chunk.page}].push_back(key);
+        }
+        for (auto& [key, record] : staged.chunks) {
+            if (record.chunk.page != 0) continue;
+            const core::JobEntry& entry = *node_.ledger.find(key.first);
+            const std::size_t need = reserve(entry, key.second);
+            const core::AttemptPageKey page = choose(entry.job.team, need);
+            load_[page] += need;
+            record.chunk.page = page.second;
+            touched_[page].push_back(key);
+        }
+        return std::move(touched_);
+    }
+
+  private:
+    // What the chunk may grow to.
+    std::size_t reserve(const core::JobEntry& entry, std::uint32_t index) const {
+        const std::uint32_t first = index * core::kChunkTasks;
+        const std::uint32_t tasks = std::min(core::kChunkTasks, entry.job.tasks - first);
+        // What is done stays done, and takes less.
+        const auto chunk = entry.chunks.find(index);
+        const std::uint32_t done = chunk == entry.chunks.end() ? 0 : chunk->second.done.size();
+        return kChunkBytes + entry.job.id.size() + (tasks - done) * (longest_name_ + kAttemptBytes) +
+               done * kDoneBytes;
+    }
+
+    std::size_t load_of(const core::AttemptPage& page, const std::set<std::string>& ending) const {
+        std::size_t sum = 0;
+        for (const auto& [job, chunk] : page.chunks) {
+            const core::JobEntry* entry = node_.ledger.find(job);
+            if (entry != nullptr && !ending.contains(job)) sum += reserve(*entry, chunk);
+        }
+        return sum;
+    }
+
+    // Pages that are written anyway first, then the emptiest, then a new one.
+    core::AttemptPageKey choose(const std::string& team, std::size_t need) {
+        if (const auto page = last_touched(team, need)) return *page;
+        return emptiest_or_new(team, need);
+    }
+
+    std::optional<core::AttemptPageKey> last_touched(const std::string& team, std::size_t need) {
+        std::optional<core::AttemptPageKey> last;
+        for (const auto& [page, chunks] : touched_) {
+            if (page.first == team && load_[page] + need <= capacity_) last = page;
+        }
+        return last;
+    }
+
+    core::AttemptPageKey emptiest_or_new(const std::string& team, std::size_t need) const {
+        std::optional<core::AttemptPageKey> emptiest;
+        core::AttemptPageKey fresh{team, 1};
+        std::size_t least = capacity_;
+        for (const auto& [page, load] : load_) {
+            if (page.first != team) continue;
+            if (page.second == fresh.second) ++fresh.second;
+            if (load + need > least) continue;
+            least = load + need;
+            emptiest = page;
+        }
+        return emptiest.value_or(fresh);
+    }
+
+    const Node& node_;
+    std::size_t capacity_;
+    std::size_t longest_name_;
+    std::map<core::AttemptPageKey, std::size_t> load_;  // bytes of this node's teams' pages, at the most
+    Pages touched_;
+};
+
+}  // namespace
+
+std::map<core::AttemptPageKey, std::vector<core::ChunkKey>> assign_pages(
+    const Node& node, StagedRecords& staged, const std::set<std::string>& ending) {
+    return PageAssignment{node, ending}.assign(staged);
+}
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/page_assignment.hpp
@@ -0,0 +1,21 @@
+// Which attempt page holds which chunk.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "service/node.hpp"
+#include "service/staged_records.hpp"
+
+namespace hatchwind::service {
+
+// Gives each staged chunk without a page one, and returns the pages to be written with their staged chunks.
+// `ending`: jobs whose chunks leave their pages. Pages stay below the size that this node can afford to read,
+// whatever their chunks may grow to.
+std::map<core::AttemptPageKey, std::vector<core::ChunkKey>> assign_pages(const Node& node,
+                                                                         StagedRecords& staged,
+                                                                         const std::set<std::string>& ending);
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/staged_records.cpp
@@ -0,0 +1,32 @@
+#include "service/staged_records.hpp"
+
+#include <algorithm>
+
+namespace hatchwind::service {
+
+ChunkRecord& StagedRecords::stage(const core::JobEntry& entry, std::uint32_t chunk) {
+    const auto [staged, fresh] = chunks.try_emplace({entry.job.id, chunk});
+    if (fresh) {
+        const auto known = entry.chunks.find(chunk);
+        if (known != entry.chunks.end()) staged->second.chunk = known->second;
+    }
+    return staged->second;
+}
+
+void StagedRecords::close(const OpenAttempt& open, bool done) {
+    ChunkRecord& record = stage(open.entry, open.chunk());
+    record.closed.push_back({open.job(), open.task, open.attempt});
+    // A task that has to start again waits for this record; one that is done waits for nothing.
+    record.urgent = record.urgent || !done;
+    if (done) record.chunk.done.insert(open.task);
+    record.chunk.open.erase(open.task);
+}
+
+void StagedRecords::start(const core::JobEntry& entry, const core::Start& start) {
+    ChunkRecord& record = stage(entry, start.task / core::kChunkTasks);
+    record.chunk.open[start.task] = start.attempt;
+    record.chunk.last_attempt = std::max(record.chunk.last_attempt, start.attempt.number);
+    record.started.push_back({start.job, start.task, start.attempt});
+}
+
+}  // namespace hatchwind::service
