Leader: list of rentals, renting, drains and giving back are modules

Cause: four duties with functions of 60 to 80 lines each in one file. Change: a module for each duty, the cloud's calls and the drain marks apart; leader.cpp is the loops that join them. Names say term and epoch. Log events and requests are as they were; behaviour is meant to be the same.

--- a/src/core/candidate_search.hpp
+++ b/src/core/candidate_search.hpp
@@ -17,6 +17,7 @@
     bool other_kind = false;  // a spot machine for an ordinary job, or the reverse
     double cpus_left = 0;
     std::size_t machine = 0;  // its place in the free capacity
+    // NOLINTNEXTLINE(readability-implicit-bool-conversion): version 14 misreads the defaulted operator.
     friend auto operator<=>(const CandidateScore&, const CandidateScore&) = default;
 };
 
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -42,6 +42,7 @@
         int priority = 0;
         int victims_and_lost_work = 0;
         double cpus = 0;
+        // NOLINTNEXTLINE(readability-implicit-bool-conversion): version 14 misreads the defaulted operator.
         friend auto operator<=>(const PlanCost&, const PlanCost&) = default;
     };
     struct Plan {
--- /dev/null
+++ b/src/service/cloud_client.cpp
@@ -0,0 +1,38 @@
+#include "service/cloud_client.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <utility>
+
+namespace hatchwind::service {
+
+using io::Micros;
+using io::steady_now;
+using io::Task;
+
+namespace {
+constexpr Micros kCallTime{3'000'000};
+constexpr double kRateUsed = 0.9;  // of the cloud's limit
+}  // namespace
+
+CloudClient::CloudClient(Node& node)
+    : node_(node), budget_(node.settings.cloud_rps * kRateUsed, node.settings.cloud_rps) {}
+
+Task<io::HttpReply> CloudClient::call(std::string method, std::string target, std::string body) {
+    while (true) {
+        const Micros wait = budget_.wait(1, steady_now());
+        if (wait.count() == 0) break;
+        co_await node_.loop.sleep(wait);
+    }
+    budget_.spend(1, steady_now());
+    auto task = node_.cloud_http.send(node_.settings.cloud, std::move(method), std::move(target),
+                                      std::move(body), steady_now() + kCallTime);
+    io::HttpReply reply = co_await std::move(task);
+    co_return reply;
+}
+
+void CloudClient::note_malformed(const char* call) {
+    spdlog::warn("event=malformed_answer from=cloud call={} count={}", call, ++malformed_);
+}
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/cloud_client.hpp
@@ -0,0 +1,26 @@
+// Calls to the cloud, within its rate limit.
+#pragma once
+
+#include <string>
+
+#include "service/budget.hpp"
+#include "service/node.hpp"
+
+namespace hatchwind::service {
+
+class CloudClient {
+  public:
+    explicit CloudClient(Node& node);
+
+    // Waits for the budget, then for the reply; status 0: none came in time.
+    io::Task<io::HttpReply> call(std::string method, std::string target, std::string body);
+    // An answer that can't be read.
+    void note_malformed(const char* call);
+
+  private:
+    Node& node_;
+    Budget budget_;
+    std::uint64_t malformed_ = 0;
+};
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/drain_marks.hpp
@@ -0,0 +1,24 @@
+// The store's record of the machines that are being drained.
+#pragma once
+
+#include <set>
+#include <string>
+
+#include "service/node.hpp"
+#include "service/replica.hpp"
+
+namespace hatchwind::service {
+
+class DrainMarks {
+  public:
+    DrainMarks(Node& node, Replica& replica) : node_(node), replica_(replica) {}
+
+    // Replaces all marks; true once that is committed.
+    io::Task<bool> write(std::set<std::string> machines);
+
+  private:
+    Node& node_;
+    Replica& replica_;
+};
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/draining.cpp
@@ -0,0 +1,100 @@
+#include "service/draining.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace hatchwind::service {
+
+using io::Micros;
+using io::steady_now;
+using io::Task;
+
+namespace {
+constexpr std::size_t kStopsAssumedPerService = 16;
+constexpr std::size_t kMarkBytes = 4;  // beside the machine's name
+
+std::set<core::TaskRef> open_tasks(const core::Ledger& ledger) {
+    std::set<core::TaskRef> open;
+    for (const auto& [id, entry] : ledger.jobs()) {
+        for (const auto& [index, chunk] : entry.chunks) {
+            for (const auto& [task, attempt] : chunk.open) open.insert({id, task});
+        }
+    }
+    return open;
+}
+}  // namespace
+
+// Stops that have no replacement yet: attempts that were open in the last round. A new leader does not know
+// the stops before its time; the jobs' unstarted tasks are the floor for those.
+void Draining::note_stops(Micros now) {
+    if (was_open_.empty()) {
+        for (const auto& [id, entry] : node_.ledger.jobs()) {
+            if (entry.job.kind != core::JobKind::service || entry.job.cancelled) continue;
+            for (const auto task : core::unstarted_tasks(entry, kStopsAssumedPerService))
+                state_.recent_stops[{id, task}] = now;
+        }
+    }
+    std::set<core::TaskRef> open = open_tasks(node_.ledger);
+    for (const auto& task : was_open_) {
+        if (!open.contains(task)) state_.recent_stops[task] = now;
+    }
+    was_open_ = std::move(open);
+}
+
+core::DrainInput Draining::drain_input(Micros now) const {
+    core::DrainInput input;
+    input.ledger = &node_.ledger;
+    input.picture = &node_.picture;
+    input.now = now;
+    for (const auto& machine : node_.draining) {
+        if (node_.picture.find(machine) != nullptr) input.draining.insert(machine);
+    }
+    const Micros end = now + node_.tunables.drain_bound;
+    input.out_of_time = [end] { return steady_now() >= end; };
+    return input;
+}
+
+// Caps grow with the fleet: a handful at a time would take hours to give back what one burst needed.
+core::DrainSettings Draining::drain_settings() const {
+    core::DrainSettings settings = node_.tunables.drain;
+    const auto fleet = static_cast<double>(node_.picture.machines().size());
+    const auto total_share = static_cast<std::size_t>(fleet * node_.tunables.drain_share);
+    const auto busy_share = static_cast<std::size_t>(fleet * node_.tunables.drain_busy_share);
+    // So many marks surely fit into one value of the store.
+    const std::size_t most_marks = node_.settings.value_bytes() / (node_.picture.longest_name() + kMarkBytes);
+    settings.total_cap = std::min(most_marks, std::max(settings.total_cap, total_share));
+    settings.busy_cap = std::max(settings.busy_cap, busy_share);
+    return settings;
+}
+
+core::DrainResult Draining::plan(const core::DrainInput& input) {
+    return core::plan_drains(drain_settings(), input,
+                             core::FreeCapacity::build(node_.picture, node_.ledger, *node_.catalog,
+                                                       node_.availability(), &node_.free_capacity_cache),
+                             state_);
+}
+
+Task<void> Draining::round() {
+    const Micros now = steady_now();
+    note_stops(now);
+    const core::DrainResult result = plan(drain_input(now));
+    node_.candidates.clear();
+    for (const auto& [machine, since] : state_.candidate_since) node_.candidates.insert(machine);
+    std::vector<std::string> chosen = result.empty;
+    chosen.insert(chosen.end(), result.busy.begin(), result.busy.end());
+    if (chosen.empty()) co_return;
+    std::set<std::string> marks = node_.draining;
+    for (const auto& machine : chosen) {
+        spdlog::info("event=drain machine={} tasks={}", machine, node_.ledger.on_machine(machine).size());
+        marks.insert(machine);
+    }
+    auto task = marks_.write(std::move(marks));
+    co_await std::move(task);
+    node_.work.notify_all();
+}
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/give_back.hpp
@@ -0,0 +1,39 @@
+// Giving machines back to the cloud: those that are drained, those that never came up, and those that are
+// silent.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "service/drain_marks.hpp"
+#include "service/node.hpp"
+#include "service/rental_list.hpp"
+
+namespace hatchwind::service {
+
+class GiveBack {
+  public:
+    GiveBack(Node& node, const RentalList& rentals, DrainMarks& marks)
+        : node_(node), rentals_(rentals), marks_(marks) {}
+
+    // What is to be given back now; `term_began`: since when this node leads.
+    std::vector<std::string> due(io::Micros now, io::Micros term_began);
+    // Takes away the marks of machines that are gone. `list_fresh`: the cloud's list was read in this term.
+    io::Task<void> clear_marks(io::Micros now, io::Micros term_began, bool list_fresh);
+    void pause() { emptied_.clear(); }
+
+  private:
+    void add_drained(std::vector<std::string>& due, io::Micros now);
+    void add_silent(std::vector<std::string>& due, io::Micros now, io::Micros term_began);
+    io::Micros silent_for(const std::string& machine, const core::MachineView& view, io::Micros now) const;
+
+    Node& node_;
+    const RentalList& rentals_;
+    DrainMarks& marks_;
+    std::map<std::string, io::Micros> emptied_;  // draining machines without tasks: since when; steady
+    std::vector<io::Micros> silent_released_;    // when, within the last minute; steady
+    io::Micros marks_cleared_{0};                // steady: when that was last done
+};
+
+}  // namespace hatchwind::service
--- a/src/service/leader.hpp
+++ b/src/service/leader.hpp
@@ -1,20 +1,31 @@
-// The leader's duty: the cloud. Renting, trial repacking, draining and giving back.
+// The leader's duty: the cloud. These are the loops; the list of rentals, renting, drains and giving back are
+// modules of their own.
 #pragma once
 
-#include <map>
-#include <set>
+#include <string>
+#include <vector>
 
-#include "core/drain_planner.hpp"
-#include "core/fleet_planner.hpp"
+#include "service/cloud_client.hpp"
+#include "service/drain_marks.hpp"
+#include "service/draining.hpp"
+#include "service/give_back.hpp"
 #include "service/node.hpp"
+#include "service/rental_list.hpp"
+#include "service/renting.hpp"
 #include "service/replica.hpp"
 
 namespace hatchwind::service {
 
 class Leader {
   public:
-    Leader(Node& n, Replica& r)
-        : node_(n), replica_(r), budget_(n.settings.cloud_rps * 0.9, n.settings.cloud_rps) {}
+    Leader(Node& node, Replica& replica)
+        : node_(node),
+          cloud_(node),
+          rentals_(node, cloud_),
+          renting_(node, cloud_, rentals_),
+          marks_(node, replica),
+          draining_(node, marks_),
+          give_back_(node, rentals_, marks_) {}
     // Every node needs the machine types, for submissions too.
     io::Task<void> keep_catalog();
     io::Task<void> keep_list();
@@ -25,32 +36,23 @@
     io::Task<bool> release(std::vector<std::string> machines);
 
   private:
-    struct Known {
-        core::Rental rental;
-        io::Micros rented{0};  // steady: when it was asked for, as far as known
-        io::Micros seen{0};    // steady: last time that a list showed it
-        bool listed = false;
-    };
-    io::Task<io::HttpReply> cloud(std::string method, std::string target, std::string body);
-    io::Task<bool> mark(std::set<std::string> machines);
-    bool overdue(const Known& k, io::Micros now) const;
-    void new_reign();
+    io::Task<void> read_catalog();
+    // Returns how many machines the cloud listed.
+    io::Task<std::size_t> read_list();
+    std::vector<std::string> vanished_machines() const;
+    void start_term();
+    void note_epoch();
 
     Node& node_;
-    Replica& replica_;
-    Budget budget_;
-    std::map<std::string, Known> known_;
-    std::map<core::Pool, io::Micros> refused_;
-    std::map<core::Pool, int> refusals_;
-    core::DrainState drain_;
-    std::set<core::TaskRef> was_open_;
-    std::vector<io::Micros> silent_released_;  // when, within the last minute
-    std::uint64_t request_ = 0;
-    std::uint64_t reign_ = 0;
-    std::uint64_t malformed_ = 0;
-    io::Micros reign_began_{0};
-    io::Micros unmarked_{0};  // steady: when marks of machines that are gone were last taken away
-    bool list_fresh_ = false;
+    CloudClient cloud_;
+    RentalList rentals_;
+    Renting renting_;
+    DrainMarks marks_;
+    Draining draining_;
+    GiveBack give_back_;
+    std::uint64_t epoch_ = 0;   // that this node last led in
+    io::Micros term_began_{0};  // steady: since when it leads, over epochs that follow one another
+    bool list_fresh_ = false;   // the cloud's list was read in this term
 };
 
 }  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/renting.cpp
@@ -0,0 +1,120 @@
+#include "service/renting.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "wire/messages.hpp"
+
+namespace hatchwind::service {
+
+using core::from_seconds;
+using io::Micros;
+using io::steady_now;
+using io::Task;
+
+namespace {
+constexpr unsigned kMostPerRequest = 50;
+constexpr int kRentAttempts = 3;
+constexpr Micros kPlanCounted{100'000};  // at the most
+constexpr double kBackoffSeconds = 2.5;  // doubled with each refusal
+constexpr int kBackoffDoublings = 4;
+constexpr double kLeastLongestBackoffSeconds = 10.0;
+// All pools together are asked again with a tenth of the cloud's calls.
+constexpr double kCallsPerRefusal = 10;
+constexpr double kKindsOfMachine = 2;  // spot and ordinary
+}  // namespace
+
+core::FleetInput Renting::fleet_input(Micros now) const {
+    core::FleetInput input;
+    input.ledger = &node_.ledger;
+    input.picture = &node_.picture;
+    input.catalog = &*node_.catalog;
+    input.teams = &node_.settings.teams;
+    input.objectives = &node_.settings.objectives;
+    input.now = now;
+    input.wall = io::wall_now();
+    input.refused_until = refused_until_;
+    input.booting = rentals_.booting(now);
+    return input;
+}
+
+core::FleetSettings Renting::fleet_settings() const {
+    core::FleetSettings settings = node_.tunables.fleet;
+    // As many as can be asked for in some seconds.
+    const auto fleet = static_cast<double>(node_.picture.machines().size());
+    settings.most_per_round = std::max<std::size_t>(
+        settings.most_per_round, static_cast<std::size_t>(fleet * node_.tunables.rent_share));
+    return settings;
+}
+
+Task<void> Renting::round() {
+    const Micros now = steady_now();
+    const core::FleetInput input = fleet_input(now);
+    const auto wanted =
+        core::plan_rentals(fleet_settings(), input,
+                           core::FreeCapacity::build(node_.picture, node_.ledger, *node_.catalog,
+                                                     node_.availability(), &node_.free_capacity_cache));
+    last_plan_ = std::min(steady_now() - now, kPlanCounted);
+    for (const auto& [pool, number] : wanted) {
+        if (!node_.leads()) break;
+        auto task = rent_from(pool, number);
+        co_await std::move(task);
+    }
+}
+
+// Never used twice, by any life of any node: the grant names this life.
+std::string Renting::next_request() {
+    return "hw-" + std::to_string(node_.epoch.number) + "-" + std::to_string(node_.self.grant) + "-" +
+           std::to_string(++request_);
+}
+
+Task<void> Renting::rent_from(core::Pool pool, unsigned number) {
+    const std::string request = next_request();
+    const auto body = wire::encode(
+        wire::rent_request(request, pool.type, pool.zone, pool.spot, std::min(number, kMostPerRequest)));
+    for (int attempt = 0; attempt < kRentAttempts; ++attempt) {
+        auto task = cloud_.call("POST", "/rentals", body);
+        const io::HttpReply reply = co_await std::move(task);
+        if (reply.status == 0) continue;  // the same name again rents nothing twice
+        take_reply(pool, number, reply);
+        co_return;
+    }
+}
+
+void Renting::take_reply(const core::Pool& pool, unsigned number, const io::HttpReply& reply) {
+    const auto body = reply.status == 200 ? wire::decode(reply.body) : std::nullopt;
+    const auto machines = body ? wire::parse_rented(*body) : std::nullopt;
+    if (machines) {
+        for (const auto& machine : *machines) rentals_.add_rented(machine, pool);
+        spdlog::info("event=rented type={} zone={} spot={} wanted={} got={}", pool.type, pool.zone, pool.spot,
+                     number, machines->size());
+    }
+    if (machines && machines->size() >= std::min(number, kMostPerRequest)) {
+        refusals_.erase(pool);
+        return;
+    }
+    back_off(pool);
+    if (reply.status == 200 && !machines) cloud_.note_malformed("rent");
+}
+
+// Nothing left there, or an outage: asked again ever more seldom, but so often that all pools together take a
+// tenth of the cloud's calls. After many machines were lost, back-offs of 40 s kept the fleet small for a
+// minute.
+void Renting::back_off(const core::Pool& pool) {
+    double pools = 0;
+    for (const auto& [name, type] : *node_.catalog)
+        pools += kKindsOfMachine * static_cast<double>(type.zones.size());
+    const double longest_s =
+        std::max(kLeastLongestBackoffSeconds, kCallsPerRefusal * pools / node_.settings.cloud_rps);
+    const int doublings = std::min(++refusals_[pool], kBackoffDoublings);
+    refused_until_[pool] =
+        steady_now() + from_seconds(std::min(kBackoffSeconds * (1 << doublings), longest_s));
+}
+
+void Renting::pool_freed(const core::Pool& pool) {
+    refused_until_.erase(pool);
+    refusals_.erase(pool);
+}
+
+}  // namespace hatchwind::service
