A machine whose session ended answers before it takes tasks again; bounded backoffs

Cause: a machine whose reports arrive but that hears nobody moves on to a new session when its lease ends, and was given tasks again at once, until a command to it stayed unanswered. A machine with many errors got nothing for up to 128 s, longer than a job may wait. A mesh heartbeat that the link had no room for lost its part of the table of answered workers, and the next one passed for the whole table, by which peers count leases.

Change: a report of a new session takes the confirmation away until the machine answers. Backoffs are in core/failure_detection.hpp and stay below 90 s. A heartbeat that could not be queued leaves its part to the next one (from reading; no test brings it about).

--- a/src/core/failure_detection.hpp
+++ b/src/core/failure_detection.hpp
@@ -16,6 +16,12 @@
     bool holds_tasks = false;
 };
 
+// How long nothing new is placed on a machine after that many errors there, each time twice as long. Below
+// the wait after which a job has to begin: a longer one left jobs waiting beside a machine with room.
+constexpr Micros machine_backoff(int errors) { return Micros{2'000'000} * (1 << std::min(errors, 5)); }
+// Likewise for a job whose tasks fail on several machines.
+constexpr Micros job_backoff(int errors) { return Micros{500'000} * (1 << std::min(errors, 6)); }
+
 // `released_recently`: how many silent machines were given back within the last minute. Without that count,
 // machines that fall silent one after the other, as when their reports went to a node that is cut off, go a
 // few at a time until half the fleet is gone. Machines that are quiet for half the limit count too: those
--- a/src/core/picture.cpp
+++ b/src/core/picture.cpp
@@ -13,7 +13,8 @@
     if (fresh) m.first_seen = steady;
     if (answer || doubt_after == Micros::max()) {
         m.confirmed = true;
-    } else if (!fresh && steady - m.changed > doubt_after) {
+    } else if (!fresh && (steady - m.changed > doubt_after || m.last.session != r.session)) {
+        // A lease that ran out while its reports came in: perhaps no answer reaches it.
         m.confirmed = false;
     }
     m.changed = steady;
--- a/src/core/picture.hpp
+++ b/src/core/picture.hpp
@@ -48,8 +48,8 @@
   public:
     // True when the report is news: newer (session, tick) than the known one. Anything else is a late copy or
     // a repeat, and changes nothing at all. `answer`: it came as the answer to a request, so it is no late
-    // copy. `doubt_after`: a first report, or one after that much silence, proves no life by itself: the
-    // machine has to answer before it is used.
+    // copy. `doubt_after`: a first report, one of a new session, or one after that much silence, proves no
+    // life by itself: the machine has to answer before it is used.
     bool apply(WorkerReport r, Micros steady, Micros heard_wall, bool answer = false,
                Micros doubt_after = Micros::max());
     void heard(const std::string& machine, Micros wall);
--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -38,18 +38,19 @@
     for (auto& [label, link] : links_) scope.spawn(talk(*link));
 }
 
-void Mesh::push(Link& link, const wire::MeshMessage& m) { push(link, wire::encode_frame(m)); }
+bool Mesh::push(Link& link, const wire::MeshMessage& m) { return push(link, wire::encode_frame(m)); }
 
-void Mesh::push(Link& link, const std::string& frame) {
-    if (!link.connected) return;
+bool Mesh::push(Link& link, const std::string& frame) {
+    if (!link.connected) return false;
     if (link.out.size() > static_cast<std::size_t>(node_.settings.memory_mb * 1024 * 1024) / kQueueParts) {
         // A peer that does not read: what it misses, the full picture makes good as soon as it has read the
         // rest.
         link.missed = true;
-        return;
+        return false;
     }
     link.out += frame;
     link.filled.notify_all();
+    return true;
 }
 
 wire::MeshReport Mesh::describe(const core::MachineView& v, Micros heard) {
@@ -237,8 +238,9 @@
                                                       node_.released_log.size());
             b.released.assign(node_.released_log.end() - static_cast<std::ptrdiff_t>(news),
                               node_.released_log.end());
-            push(*link, b);
-            // If the link has no room this heartbeat is lost, and fill() starts the tables anew.
+            // One that the link has no room for is lost, and the next one tells what it would have told: a
+            // peer takes a heartbeat's table for all that was answered until then, and counts leases by it.
+            if (!push(*link, b)) continue;
             link->answered_until = Micros{b.wall_us};
             link->released_told = node_.released_count;
         }
--- a/src/service/mesh.hpp
+++ b/src/service/mesh.hpp
@@ -34,8 +34,9 @@
     io::Task<void> talk(Link& link);
     io::Task<void> listen(io::Socket socket);
     void handle(const std::string& from, wire::MeshMessage& m);
-    void push(Link& link, const wire::MeshMessage& m);
-    void push(Link& link, const std::string& frame);
+    // False when the link has no room for it, or no connection.
+    bool push(Link& link, const wire::MeshMessage& m);
+    bool push(Link& link, const std::string& frame);
     void fill(Link& link);
     void share_writes();
     static wire::MeshReport describe(const core::MachineView& v, io::Micros heard);
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "core/failure_detection.hpp"
+
 namespace hatchwind::service {
 
 using core::ExitCause;
@@ -75,12 +77,12 @@
             FailureRecord& j = job_failures_[e.job.id];
             j.errors = std::min(j.errors + 1, 6);
             j.jobs.insert(a.machine);
-            if (j.jobs.size() >= 2) j.until = now + Micros{500'000} * (1 << j.errors);
+            if (j.jobs.size() >= 2) j.until = now + core::job_backoff(j.errors);
             m.jobs.insert(e.job.id);
             m.errors = std::min(m.errors + 1, 6);
             // Errors of jobs that fail elsewhere too say little about this machine.
             const bool machine_suspect = m.jobs.size() >= 2 || j.jobs.size() < 2;
-            if (machine_suspect) m.until = now + Micros{2'000'000} * (1 << m.errors);
+            if (machine_suspect) m.until = now + core::machine_backoff(m.errors);
             spdlog::info("event=task_error job={} machine={} job_errors={} machine_errors={}", e.job.id,
                          a.machine, j.errors, m.errors);
             break;
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -2,6 +2,7 @@
 // is slow. Each test brings one such meeting about; docs/reliability-owners.md says what each of them guards.
 #include <algorithm>
 
+#include "core/failure_detection.hpp"
 #include "site.hpp"
 #include "support.hpp"
 
@@ -319,6 +320,31 @@
     });
 }
 
+// Its reports came in, and its lease ran out all the same: it may hear nobody, and what it is given never
+// starts.
+TEST(OneWayMeetings, AMachineWhoseSessionEndedAnswersBeforeItTakesTasksAgain) {
+    test::Cluster c;
+    c.teams["x"] = {"x", 8, 24, 0, 0};
+    c.ledger.put_job(test::job("req-1", "x", 1, 1), 1);
+    const Micros doubt{26'000'000};
+    const auto starts = [&c] {
+        core::FreeCapacity room = c.room();
+        return core::place(placement_input(c), room).starts.size();
+    };
+    auto machine = test::report("n-1", "small", "a");
+    c.picture.apply(machine, c.now, c.now, true, doubt);
+    EXPECT_EQ(starts(), 1U);
+    ++machine.tick;
+    c.picture.apply(machine, c.now, c.now, false, doubt);
+    EXPECT_EQ(starts(), 1U);
+    ++machine.tick;
+    ++machine.session;
+    c.picture.apply(machine, c.now, c.now, false, doubt);
+    EXPECT_EQ(starts(), 0U);
+    c.picture.confirm("n-1");
+    EXPECT_EQ(starts(), 1U);
+}
+
 // Reports of a machine arrive, answers and commands do not, and the leader ends. The machine is alive for
 // nobody: its lease runs out on its own side, and its tasks are placed elsewhere then, not before.
 TEST(OneWayMeetings, ADeafMachinesTasksMoveOnceItsLeaseHasEndedAcrossALeadersEnd) {
@@ -334,6 +360,7 @@
             auto step = until(s, [&s] { return s.world.running.size() == 2; });
             co_await std::move(step);
         }
+        const Micros began = io::steady_now();
         const std::string deaf = s.world.running["req-1/0"];
         s.cloud.workers.at(deaf)->deaf = true;
         const std::string old = s.leader();
@@ -345,6 +372,7 @@
             });
             co_await std::move(step);
         }
+        EXPECT_LT(io::steady_now() - began, Micros{30'000'000}) << "it counted as alive after its lease";
         EXPECT_GT(s.cloud.workers.contains(deaf) ? s.cloud.workers.at(deaf)->session() : 2U, 1U);
         {
             auto step = s.until_status("req-1", "running");
@@ -477,5 +505,89 @@
     });
 }
 
+// Machines are up at once and get work while the store is slow to answer, and the leader ends. What it had
+// recorded runs once, and no machine that it had rented is lost or rented a second time for the same work.
+TEST(NewMachineMeetings, MachinesThatAreUpAtOnceWhileWritesLagAndTheLeaderEnds) {
+    Site site{2};
+    site.world.endless = {"req-1", "req-2"};
+    site.state.answer_after = [](const Json&) { return Micros{400'000}; };
+    site.play([](Site& s) -> Task<void> {
+        for (const char* id : {"req-1", "req-2"}) {
+            auto step = submit(s, id, id == std::string("req-1") ? "x" : "y", "service", 2, 3);
+            co_await std::move(step);
+        }
+        {
+            auto step = until(s, [&s] { return !s.cloud.workers.empty(); });
+            co_await std::move(step);
+        }
+        const std::string old = s.leader();
+        s.kill(s.index(old));
+        {
+            auto step = until(s, [&s] { return s.world.running.size() == 4; });
+            co_await std::move(step);
+        }
+        co_await s.loop.sleep(Micros{1'000'000});
+        EXPECT_EQ(s.world.running.size(), 4U);
+        for (const auto& [task, n] : s.world.started) EXPECT_EQ(n, 1) << task;
+        EXPECT_LE(s.cloud.workers.size(), 6U) << "rented again for work that had machines";
+    });
+}
+
+// An array bound to one zone loses a machine, and then the leader that knew where its tasks were. Its tasks
+// that cannot be reached are still where they are.
+TEST(ZoneMeetings, AnArrayBoundToOneZoneThatLosesAMachineStaysThereAcrossALeadersEnd) {
+    Site site{2};
+    site.world.endless = {"req-1"};
+    set_lease(site, 4);
+    site.play([](Site& s) -> Task<void> {
+        Json job = submission("req-1", "x", "sweep", 3, 3);
+        job["oneZone"] = true;
+        {
+            auto step = s.insist("POST", "/api/jobs", job, {200, 201});
+            co_await std::move(step);
+        }
+        std::map<std::string, std::string> zone_of;
+        std::size_t zones_at_once = 0;
+        const auto look = [&s, &zone_of, &zones_at_once] {
+            for (const auto& [id, w] : s.cloud.workers) zone_of[id] = w->zone();
+            std::set<std::string> zones;
+            for (const auto& [task, machine] : s.world.running) zones.insert(zone_of[machine]);
+            zones_at_once = std::max(zones_at_once, zones.size());
+        };
+        {
+            auto step = until(s, [&] {
+                look();
+                return s.world.running.size() == 3;
+            });
+            co_await std::move(step);
+        }
+        // Neither answers nor commands reach two of its machines.
+        for (const char* task : {"req-1/0", "req-1/1"})
+            s.cloud.workers.at(s.world.running[task])->deaf = true;
+        const std::string old = s.leader();
+        s.kill(s.index(old));
+        s.start(s.index(old));
+        {
+            auto step = until(s, [&] {
+                look();
+                const auto at = s.world.started.find("req-1/0");
+                return at != s.world.started.end() && at->second > 1;
+            });
+            co_await std::move(step);
+        }
+        EXPECT_EQ(zones_at_once, 1U);
+    });
+}
+
+// A machine or a job that fails is tried ever more seldom, and yet so often that nothing waits 90 s for it.
+TEST(WaitingMeetings, NoBackoffLastsAsLongAsAJobMayWait) {
+    for (int errors = 1; errors < 100; ++errors) {
+        EXPECT_LT(core::machine_backoff(errors), core::kBeginWithin) << errors;
+        EXPECT_LT(core::job_backoff(errors), core::kBeginWithin) << errors;
+        EXPECT_GE(core::machine_backoff(errors + 1), core::machine_backoff(errors));
+        EXPECT_GE(core::job_backoff(errors + 1), core::job_backoff(errors));
+    }
+}
+
 }  // namespace
 }  // namespace hatchwind
