--- a/src/service/failure_records.cpp
+++ b/src/service/failure_records.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "core/failure_detection.hpp"
+
 namespace hatchwind::service {
 
 using core::ExitCause;
@@ -13,8 +15,6 @@
 constexpr Micros kNoRoomBackoff{1'000'000};
 constexpr Micros kBusyBackoff{5'000'000};
 constexpr Micros kUnknownBackoff{3'000'000};
-constexpr Micros kJobErrorBackoff{500'000};  // doubled with each error
-constexpr Micros kMachineErrorBackoff{2'000'000};
 constexpr int kErrorsCounted = 6;
 }  // namespace
 
@@ -52,12 +52,12 @@
     FailureRecord& job = jobs_[open.job()];
     job.errors = std::min(job.errors + 1, kErrorsCounted);
     job.others.insert(open.attempt.machine);
-    if (job.others.size() >= 2) job.until = now + kJobErrorBackoff * (1 << job.errors);
+    if (job.others.size() >= 2) job.until = now + core::job_backoff(job.errors);
     machine.others.insert(open.job());
     machine.errors = std::min(machine.errors + 1, kErrorsCounted);
     // Errors of jobs that fail elsewhere too say little about this machine.
     const bool machine_suspect = machine.others.size() >= 2 || job.others.size() < 2;
-    if (machine_suspect) machine.until = now + kMachineErrorBackoff * (1 << machine.errors);
+    if (machine_suspect) machine.until = now + core::machine_backoff(machine.errors);
     spdlog::info("event=task_error job={} machine={} job_errors={} machine_errors={}", open.job(),
                  open.attempt.machine, job.errors, machine.errors);
 }
