Clock and transport of the loop are chosen at construction; emulator: world, network, state service

Cause: meetings of two troubles can't be brought about on loopback in real time, let alone twice the same way. Change: io::Loop takes a transport and a driver; TCP became one transport. src/emulator has simulated time, hosts that drift, freeze and die, a network with cuts in one direction, and the state service of the protocol with its limits and faults. Real service objects run on it unchanged.

--- a/src/io/loop.cpp
+++ b/src/io/loop.cpp
@@ -9,6 +9,8 @@
 #include <cerrno>
 #include <system_error>
 
+#include "io/transport.hpp"
+
 namespace hatchwind::io {
 
 namespace {
@@ -17,17 +19,30 @@
     ::clock_gettime(id, &t);
     return Micros{static_cast<std::int64_t>(t.tv_sec) * 1'000'000 + t.tv_nsec / 1000};
 }
+
+constinit thread_local const Clock* installed_clock = nullptr;
 }  // namespace
 
-Micros steady_now() { return read_clock(CLOCK_MONOTONIC); }
-Micros wall_now() { return read_clock(CLOCK_REALTIME); }
+void install_clock(const Clock* clock) { installed_clock = clock; }
+
+Micros steady_now() {
+    if (installed_clock != nullptr) [[unlikely]]
+        return installed_clock->steady();
+    return read_clock(CLOCK_MONOTONIC);
+}
+
+Micros wall_now() {
+    if (installed_clock != nullptr) [[unlikely]]
+        return installed_clock->wall();
+    return read_clock(CLOCK_REALTIME);
+}
 
 void Signal::notify_all() {
     while (!waiters_.empty()) {
         Waiter& w = waiters_.front();
         waiters_.pop_front();
         w.UnlinkSet::unlink();
-        loop_->ready_.push_back(w);
+        loop_->make_ready(w);
     }
 }
 
@@ -35,15 +50,16 @@
     handle = h;
     signal.waiters_.push_back(*this);
     // Every waiter sits in the timer set, so notify_all() can unlink without asking.
-    signal.loop_->timers_.insert(*this);
+    signal.loop_->add_timer(*this);
 }
 
 void Loop::Sleep::await_suspend(std::coroutine_handle<> h) {
     handle = h;
-    loop.timers_.insert(*this);
+    loop.add_timer(*this);
 }
 
-FdWatch::FdWatch(Loop& loop, int fd) : readable(loop), writable(loop), loop_(loop), fd_(fd) {
+FdWatch::FdWatch(Loop& loop, int fd, Signal& readable, Signal& writable)
+    : loop_(loop), readable_(readable), writable_(writable), fd_(fd) {
     epoll_event ev{};
     ev.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
     ev.data.ptr = this;
@@ -55,11 +71,33 @@
     ::close(fd_);
 }
 
-Loop::Loop() : epoll_(::epoll_create1(EPOLL_CLOEXEC)), now_(steady_now()) {
+Loop::Loop() : transport_(tcp_transport()), epoll_(::epoll_create1(EPOLL_CLOEXEC)), now_(steady_now()) {
     if (epoll_ < 0) throw std::system_error(errno, std::generic_category(), "epoll_create1");
 }
 
-Loop::~Loop() { ::close(epoll_); }
+Loop::~Loop() {
+    if (epoll_ >= 0) ::close(epoll_);
+}
+
+void Loop::add_timer(Waiter& waiter) {
+    const auto at = timers_.insert(waiter);
+    if (driver_ != nullptr && at == timers_.begin()) driver_->wake();
+}
+
+void Loop::make_ready(Waiter& waiter) {
+    ready_.push_back(waiter);
+    if (driver_ != nullptr) driver_->wake();
+}
+
+void Loop::turn() {
+    fire_timers();
+    run_ready();
+}
+
+Micros Loop::next_turn() const {
+    if (!ready_.empty()) return Micros::min();
+    return timers_.empty() ? Micros::max() : timers_.begin()->deadline;
+}
 
 void Loop::fire_timers() {
     now_ = steady_now();
@@ -85,8 +123,7 @@
 void Loop::run() {
     std::array<epoll_event, 64> events{};
     while (!stopping_) {
-        fire_timers();
-        run_ready();
+        turn();
         if (stopping_) break;
         int wait_ms = -1;
         if (!ready_.empty()) {
@@ -101,8 +138,9 @@
             const auto& ev = events[static_cast<std::size_t>(i)];
             auto* watch = static_cast<FdWatch*>(ev.data.ptr);
             // Only moves routines to the ready queue: none runs here, so no watch dies under this loop.
-            if ((ev.events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0) watch->readable.notify_all();
-            if ((ev.events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) != 0) watch->writable.notify_all();
+            if ((ev.events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+                watch->readable_.notify_all();
+            if ((ev.events & (EPOLLOUT | EPOLLHUP | EPOLLERR)) != 0) watch->writable_.notify_all();
         }
     }
 }
--- a/src/io/loop.hpp
+++ b/src/io/loop.hpp
@@ -1,4 +1,5 @@
-// The event loop: epoll, monotonic timers and a queue of routines that are ready to go on.
+// The event loop: epoll, monotonic timers and a queue of routines that are ready to go on. Its clock and its
+// transport can be replaced, so that the same routines run in simulated time; see src/emulator.
 #pragma once
 
 #include <boost/intrusive/list.hpp>
@@ -11,6 +12,18 @@
 
 using Micros = std::chrono::microseconds;
 
+// A source of both times.
+class Clock {
+  public:
+    virtual Micros steady() const = 0;
+    virtual Micros wall() const = 0;
+
+  protected:
+    ~Clock() = default;
+};
+// The clock that this thread reads from now on; null: the machine's own.
+void install_clock(const Clock* clock);
+
 // Steady time since an arbitrary start, in whole microseconds.
 Micros steady_now();
 // Time of day; within the deployment's skew of true time.
@@ -36,6 +49,17 @@
                                             boost::intrusive::constant_time_size<false>>;
 
 class Loop;
+class Transport;
+
+// Runs loops that don't wait by themselves; see Loop::turn().
+class LoopDriver {
+  public:
+    // The loop has something to do earlier than it had.
+    virtual void wake() = 0;
+
+  protected:
+    ~LoopDriver() = default;
+};
 
 // Something that routines wait for. notify_all() readies every routine that waits at that moment.
 class Signal {
@@ -59,31 +83,40 @@
     WaiterList waiters_;
 };
 
-// What epoll reports for one descriptor.
+// Passes on what epoll reports for one descriptor, and owns the descriptor.
 class FdWatch {
   public:
-    FdWatch(Loop& loop, int fd);
+    FdWatch(Loop& loop, int fd, Signal& readable, Signal& writable);
     ~FdWatch();
     FdWatch(const FdWatch&) = delete;
     FdWatch& operator=(const FdWatch&) = delete;
-    Signal readable;
-    Signal writable;
     int fd() const { return fd_; }
 
   private:
+    friend class Loop;
     Loop& loop_;
+    Signal& readable_;
+    Signal& writable_;
     int fd_;
 };
 
 class Loop {
   public:
+    // On the machine's own clock and network.
     Loop();
+    // Driven from outside, in time that the driver makes: run() is not for such a loop.
+    Loop(Transport& transport, LoopDriver& driver) : transport_(transport), driver_(&driver) {}
     ~Loop();
     Loop(const Loop&) = delete;
     Loop& operator=(const Loop&) = delete;
 
     void run();
     void stop() { stopping_ = true; }
+    // Runs what is due now, once; what that makes ready waits for the next turn.
+    void turn();
+    // When the next turn is due: Micros::min() for at once, Micros::max() for never.
+    Micros next_turn() const;
+    Transport& transport() const { return transport_; }
     Micros now() const { return now_; }
 
     struct Sleep : Waiter {
@@ -101,9 +134,13 @@
   private:
     friend class Signal;
     friend class FdWatch;
+    void add_timer(Waiter& waiter);
+    void make_ready(Waiter& waiter);
     void fire_timers();
     void run_ready();
 
+    Transport& transport_;
+    LoopDriver* driver_ = nullptr;  // null: run() waits by itself
     int epoll_ = -1;
     bool stopping_ = false;
     Micros now_{};
--- a/src/io/socket.hpp
+++ b/src/io/socket.hpp
@@ -1,4 +1,4 @@
-// Non-blocking TCP over IPv4.
+// Connections: addresses, sockets and listeners over the loop's transport.
 #pragma once
 
 #include <cstdint>
@@ -9,6 +9,7 @@
 
 #include "io/loop.hpp"
 #include "io/task.hpp"
+#include "io/transport.hpp"
 
 namespace hatchwind::io {
 
@@ -23,19 +24,19 @@
 
 class Socket {
   public:
-    explicit Socket(std::unique_ptr<FdWatch> watch) : watch_(std::move(watch)) {}
+    explicit Socket(std::unique_ptr<Stream> stream) : stream_(std::move(stream)) {}
 
     // Bytes read; 0 at the end of the stream; nothing on an error or at the deadline.
-    Task<std::optional<std::size_t>> read(char* into, std::size_t room, Micros deadline);
+    Task<std::optional<std::size_t>> read(char* into, std::size_t capacity, Micros deadline);
     // Writes everything, or says that it could not.
     Task<bool> write(std::string_view data, Micros deadline);
     // True when an idle connection has been closed, or has said something that nobody asked for.
-    bool is_stale() const;
+    bool is_stale() const { return stream_->has_input(); }
     // Ends the connection: whoever waits for its bytes sees the end of the stream.
-    void shut();
+    void shut() { stream_->shut(); }
 
   private:
-    std::unique_ptr<FdWatch> watch_;
+    std::unique_ptr<Stream> stream_;
 };
 
 Task<std::optional<Socket>> connect(Loop& loop, Address to, Micros deadline);
@@ -46,8 +47,7 @@
     Task<Socket> accept();
 
   private:
-    Loop& loop_;
-    std::unique_ptr<FdWatch> watch_;
+    std::unique_ptr<Acceptor> acceptor_;
 };
 
 }  // namespace hatchwind::io
