--- a/src/emulator/deployment.cpp
+++ b/src/emulator/deployment.cpp
@@ -28,10 +28,13 @@
     state_ = std::make_unique<StateService>(world, *state_host_, limits_of(options_.settings));
     for (std::size_t i = 0; i < options_.nodes; ++i) {
         HostOptions host;
-        const auto& zones = options_.settings.zones;
+        host.role = HostRole::controller;
+        const auto& zones = options_.node_zones.empty() ? options_.settings.zones : options_.node_zones;
         host.zone = zones.empty() ? "a" : zones[i % zones.size()];
         host.drift_ppm = draw_drift(random, options_.most_drift_ppm);
         const auto skew_us = static_cast<std::int64_t>(options_.settings.skew_ms * 1000);
+        // Nothing may depend on where another's steady clock stands.
+        host.steady_start = io::Micros{static_cast<std::int64_t>(i + 1) * 1'000'000'000};
         host.wall_skew = io::Micros{draw_drift(random, skew_us)};
         nodes_.push_back(&world.add_host("node" + std::to_string(i), host));
     }
--- a/src/emulator/deployment.hpp
+++ b/src/emulator/deployment.hpp
@@ -15,9 +15,10 @@
 
 struct DeploymentOptions {
     std::size_t nodes = 3;
-    // What all controllers have in common. Label, zone, addresses and peers are filled in; the zones are
-    // given to the controllers in turn.
+    // What all controllers have in common. Label, zone, addresses and peers are filled in.
     service::Settings settings;
+    // Given to the controllers in turn; empty: the settings' zones.
+    std::vector<std::string> node_zones;
     // Called with each controller's tunables, which begin as the service's own defaults.
     std::function<void(service::Tunables&)> adjust;
     // Clocks run apart by up to so much, drawn from the seed.
--- a/src/emulator/host.cpp
+++ b/src/emulator/host.cpp
@@ -11,7 +11,7 @@
 namespace {
 constexpr std::int64_t kMillion = 1'000'000;
 constexpr std::int64_t kFarAhead = kMillion * kMillion * 1000;
-}
+}  // namespace
 
 Host::Host(World& world, std::string name, std::uint32_t ip, std::size_t index, HostOptions options)
     : world_(world),
@@ -23,10 +23,9 @@
       loop_(network_, *this) {}
 
 Micros Host::steady() const {
-    // Each host's count begins somewhere else.
-    const std::int64_t start = static_cast<std::int64_t>(index_) * 10 * kMillion;
     const std::int64_t true_now = world_.now().count();
-    return World::kSteadyStart + Micros{start + true_now + true_now * options_.drift_ppm / kMillion};
+    return World::kSteadyStart + options_.steady_start +
+           Micros{true_now + true_now * options_.drift_ppm / kMillion};
 }
 
 Micros Host::wall() const { return world_.wall() + options_.wall_skew; }
--- a/src/emulator/host.hpp
+++ b/src/emulator/host.hpp
@@ -13,6 +13,8 @@
 
 class World;
 
+enum class HostRole : std::uint8_t { other, controller, machine, users };
+
 struct HostOptions {
     // Empty: belongs to the region, to no zone.
     std::string zone;
@@ -20,6 +22,12 @@
     std::int64_t drift_ppm = 0;
     // How far its time of day is from the true one.
     io::Micros wall_skew{0};
+    // Where its steady clock begins. Hosts whose actors call each other directly keep the same beginning: a
+    // routine that is started from another host's turn reads that host's clock until it first waits.
+    io::Micros steady_start{0};
+    // 0: the next free one of 10.0.0.0/16.
+    std::uint32_t ip = 0;
+    HostRole role = HostRole::other;
 };
 
 // How a process ends.
@@ -34,6 +42,7 @@
 
     const std::string& name() const { return name_; }
     const std::string& zone() const { return options_.zone; }
+    HostRole role() const { return options_.role; }
     std::uint32_t ip() const { return ip_; }
     io::Address address(std::uint16_t port) const { return {ip_, port}; }
     std::size_t index() const { return index_; }
--- a/src/emulator/network.cpp
+++ b/src/emulator/network.cpp
@@ -48,51 +48,64 @@
 }
 
 CutId Network::cut(const std::vector<const Host*>& from, const std::vector<const Host*>& to, CutMode mode) {
-    Cut made{{}, mode};
-    for (const Host* source : from)
-        for (const Host* target : to)
-            if (source != target) made.paths.emplace_back(source, target);
     const CutId id = ++last_cut_;
-    const auto paths = made.paths;
-    cuts_.emplace(id, std::move(made));
-    for (const auto& [source, target] : paths) refresh({source->index(), target->index()});
+    cuts_[id].mode = mode;
+    for (const Host* source : from)
+        for (const Host* target : to) add_path(id, *source, *target);
     return id;
 }
 
 CutId Network::cut_between(const std::vector<const Host*>& one, const std::vector<const Host*>& other,
                            CutMode mode) {
     const CutId id = cut(one, other, mode);
-    for (const Host* source : other) {
-        for (const Host* target : one) {
-            if (source == target) continue;
-            cuts_.at(id).paths.emplace_back(source, target);
-            refresh({source->index(), target->index()});
-        }
+    for (const Host* source : other)
+        for (const Host* target : one) add_path(id, *source, *target);
+    return id;
+}
+
+CutId Network::cut_sides(std::function<Side(const Host&)> side_of, CutMode mode) {
+    std::vector<const Host*> one;
+    std::vector<const Host*> two;
+    for (const Host* host : world_.hosts()) {
+        const Side side = side_of(*host);
+        if (side == Side::one) one.push_back(host);
+        if (side == Side::two) two.push_back(host);
     }
+    const CutId id = cut_between(one, two, mode);
+    cuts_.at(id).side_of = std::move(side_of);
     return id;
 }
 
+void Network::joined(const Host& host) {
+    for (const auto& [id, cut] : cuts_) {
+        const Side side = cut.side_of ? cut.side_of(host) : Side::neither;
+        if (side == Side::neither) continue;
+        const Side opposite = side == Side::one ? Side::two : Side::one;
+        for (const Host* other : world_.hosts()) {
+            if (cut.side_of(*other) != opposite) continue;
+            add_path(id, host, *other);
+            add_path(id, *other, host);
+        }
+    }
+}
+
+void Network::add_path(CutId id, const Host& from, const Host& to) {
+    if (&from == &to) return;
+    Cut& cut = cuts_.at(id);
+    cut.paths.emplace_back(from.index(), to.index());
+    path(from, to).cuts[id] = cut.mode;
+}
+
 void Network::heal(CutId id) {
     const auto node = cuts_.extract(id);
     if (node.empty()) return;
-    for (const auto& [source, target] : node.mapped().paths) refresh({source->index(), target->index()});
-}
-
-void Network::refresh(const PathKey& key) {
-    Path& path = paths_[key];
-    path.cut = false;
-    path.mode = CutMode::hold;
-    for (const auto& [id, cut] : cuts_) {
-        const bool here = std::any_of(cut.paths.begin(), cut.paths.end(), [&](const auto& p) {
-            return PathKey{p.first->index(), p.second->index()} == key;
-        });
-        if (!here) continue;
-        path.cut = true;
-        path.mode = std::max(path.mode, cut.mode);
+    for (const PathKey& key : node.mapped().paths) {
+        Path& healed = paths_[key];
+        healed.cuts.erase(id);
+        if (!healed.cuts.empty()) continue;
+        auto held = std::exchange(healed.held, {});
+        for (Packet& packet : held) schedule(std::move(packet));
     }
-    if (path.cut) return;
-    auto held = std::exchange(path.held, {});
-    for (Packet& packet : held) schedule(std::move(packet));
 }
 
 void Network::delay_next(const Host& from, const Host& to, std::size_t count, Micros by) {
@@ -108,11 +121,13 @@
     const auto from = static_cast<std::size_t>(packet.from_end);
     if (connection.ways[from].lost) return;
     Path& chosen = path(*connection.hosts[from], *connection.hosts[1 - from]);
-    if (!chosen.cut) {
+    if (chosen.cuts.empty()) {
         schedule(std::move(packet));
         return;
     }
-    switch (chosen.mode) {
+    CutMode hardest = CutMode::hold;
+    for (const auto& [id, mode] : chosen.cuts) hardest = std::max(hardest, mode);
+    switch (hardest) {
         case CutMode::hold:
             chosen.held.push_back(std::move(packet));
             break;
--- a/src/emulator/network.hpp
+++ b/src/emulator/network.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -43,6 +44,9 @@
 
 using CutId = std::uint64_t;
 
+// Where a host stands in a cut.
+enum class Side : std::uint8_t { neither, one, two };
+
 // A piece of a connection's life, from one end to the other.
 struct Packet {
     enum class Kind : std::uint8_t { open, opened, data, end, reset };
@@ -71,6 +75,9 @@
     // Cuts every path that leads from one of `from` to one of `to`; for both directions cut twice, or use
     // cut_between(). Cuts may overlap; the hardest holds (refuse before lose before hold).
     CutId cut(const std::vector<const Host*>& from, const std::vector<const Host*>& to, CutMode mode);
+    // Cuts both ways between whoever is on side one and whoever is on side two, hosts that come later
+    // included.
+    CutId cut_sides(std::function<Side(const Host&)> side_of, CutMode mode);
     CutId cut_between(const std::vector<const Host*>& one, const std::vector<const Host*>& other,
                       CutMode mode);
     void heal(CutId cut);
@@ -85,25 +92,28 @@
   private:
     friend class HostNetwork;
     friend class Host;
+    friend class World;
     friend class SimulatedStream;
     friend class SimulatedAcceptor;
+    using PathKey = std::pair<std::size_t, std::size_t>;  // indexes of hosts
     struct Path {
-        bool cut = false;
-        CutMode mode = CutMode::hold;
+        std::map<CutId, CutMode> cuts;
         std::deque<Packet> held;
         std::size_t delayed = 0;
         io::Micros delay{0};
         io::Micros slower{0};
     };
     struct Cut {
-        std::vector<std::pair<const Host*, const Host*>> paths;
-        CutMode mode;
+        CutMode mode = CutMode::hold;
+        std::vector<PathKey> paths;
+        std::function<Side(const Host&)> side_of;  // may be empty
     };
-    using PathKey = std::pair<std::size_t, std::size_t>;  // indexes of hosts
 
     Path& path(const Host& from, const Host& to) { return paths_[{index_of(from), index_of(to)}]; }
     static std::size_t index_of(const Host& host);
-    void refresh(const PathKey& key);
+    void add_path(CutId id, const Host& from, const Host& to);
+    // A host has come into the world.
+    void joined(const Host& host);
     // Sends a packet on its way, through the cuts.
     void transmit(Packet packet);
     void schedule(Packet packet);
--- a/src/emulator/state_service.cpp
+++ b/src/emulator/state_service.cpp
@@ -17,8 +17,6 @@
 
 namespace {
 
-constexpr Micros kUsualLeast{500};
-constexpr Micros kUsualMost{5'000};
 constexpr Micros kLateExpiry{100'000};   // a grant may end so much late, never early
 constexpr Micros kNoAnswer{60'000'000};  // longer than anybody waits
 constexpr std::uint64_t kMostBlockMs = 60'000;
@@ -71,6 +69,13 @@
     return true;
 }
 
+StateLatency StateLatency::times(double factor) const {
+    const auto scaled = [factor](Micros time) {
+        return Micros{static_cast<std::int64_t>(static_cast<double>(time.count()) * factor)};
+    };
+    return {scaled(least), scaled(most), slow_share, scaled(slow_least), scaled(slow_most)};
+}
+
 StateService::StateService(World& world, Host& host, StateLimits limits)
     : world_(world),
       host_(host),
@@ -126,12 +131,6 @@
     write_rate_.set(limits.writes_per_s);
 }
 
-void StateService::set_slow(double share, Micros least, Micros most) {
-    slow_share_ = share;
-    slow_least_ = least;
-    slow_most_ = most;
-}
-
 void StateService::late_commits(const std::string& client, double share, Micros least, Micros most) {
     for (auto& [name, chosen] : clients_) {
         if (!client.empty() && name != client) continue;
@@ -173,8 +172,8 @@
 
 Task<HttpResponse> StateService::handle(Client& client, HttpRequest request) {
     ++requests_;
-    Micros delay = between(kUsualLeast, kUsualMost);
-    if (chance(slow_share_)) delay += between(slow_least_, slow_most_);
+    Micros delay = between(latency_.least, latency_.most);
+    if (chance(latency_.slow_share)) delay += between(latency_.slow_least, latency_.slow_most);
     // Half of the way before the request is carried out, half after.
     co_await host_.loop().sleep(delay / 2);
     auto task = answer(client, std::move(request));
--- a/src/emulator/state_service.hpp
+++ b/src/emulator/state_service.hpp
@@ -39,6 +39,17 @@
     Store::Limits store;
 };
 
+// How long requests take, each part drawn evenly.
+struct StateLatency {
+    io::Micros least{500};
+    io::Micros most{5'000};
+    double slow_share = 0;  // of the requests take so much longer
+    io::Micros slow_least{0};
+    io::Micros slow_most{0};
+
+    StateLatency times(double factor) const;
+};
+
 // What befalls one transaction.
 struct CommitFault {
     enum class Kind : std::uint8_t {
@@ -63,8 +74,7 @@
     // Only this client gets 503, its open watches wait, and its grants run out.
     void refuse(const std::string& client, bool on);
     void set_limits(const StateLimits& limits);
-    // Answers to this share of the requests take so much longer, drawn evenly.
-    void set_slow(double share, io::Micros least, io::Micros most);
+    void set_latency(const StateLatency& latency) { latency_ = latency; }
     // Asked for each transaction; see late_commits() and lose_answers() for the usual ones.
     std::function<CommitFault(const std::string& client, const wire::Json& transaction)> commit_fault;
     // Transactions of the client, or of all for "", meet a fault with this probability; 0 ends it.
@@ -107,8 +117,7 @@
     RateLimit write_rate_;
     Store store_;
     bool outage_ = false;
-    double slow_share_ = 0;
-    io::Micros slow_least_{0}, slow_most_{0};
+    StateLatency latency_;
     std::uint64_t requests_ = 0;
     std::uint64_t refused_by_rate_ = 0;
     io::Signal changed_;         // the store, or who may see it
--- a/src/emulator/world.cpp
+++ b/src/emulator/world.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr std::uint32_t kFirstIp = (10U << 24U) + 1;
+
 // Takes the service's log lines into the trace, each under the host that wrote it.
 class TraceSink final : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
   public:
@@ -47,6 +49,12 @@
     std::shared_ptr<spdlog::logger> before_;
 };
 
+std::vector<const Host*> World::hosts() const {
+    std::vector<const Host*> all;
+    for (const auto& [name, host] : hosts_) all.push_back(host.get());
+    return all;
+}
+
 World::World(WorldOptions options)
     : options_(options),
       trace_(options.trace_packets),
@@ -63,11 +71,14 @@
 Host& World::add_host(std::string name, HostOptions options) {
     const std::size_t index = hosts_.size();
     if (hosts_.contains(name)) throw std::invalid_argument("a host of that name is there: " + name);
-    const std::uint32_t ip = (10U << 24U) + static_cast<std::uint32_t>(index) + 1;
+    if (options.ip == 0) options.ip = kFirstIp + static_cast<std::uint32_t>(index);
+    const std::uint32_t ip = options.ip;
+    if (by_ip_.contains(ip)) throw std::invalid_argument("a host of that address is there: " + name);
     auto host = std::make_unique<Host>(*this, name, ip, index, std::move(options));
     Host& made = *host;
     hosts_.emplace(std::move(name), std::move(host));
     by_ip_[ip] = &made;
+    network_.joined(made);
     return made;
 }
 
--- a/src/emulator/world.hpp
+++ b/src/emulator/world.hpp
@@ -45,6 +45,7 @@
     Host& add_host(std::string name, HostOptions options = {});
     Host& host(std::string_view name);
     Host* find_host(std::uint32_t ip);
+    std::vector<const Host*> hosts() const;  // in the order of their names
     Network& network() { return network_; }
     Trace& trace() { return trace_; }
     void note(std::string_view where, std::string_view what) { trace_.line(now_, where, what); }
