--- a/src/emulator/checker.hpp
+++ b/src/emulator/checker.hpp
@@ -39,12 +39,6 @@
     std::vector<std::string> history;
 };
 
-/// Largest amounts that a team's tasks may use at any time.
-struct TeamLimit {
-    double cores = 0;
-    double accelerators = 0;
-};
-
 /// What the checker has to know of the deployment.
 struct CheckerRules {
     std::map<std::string, TeamLimit> teams;
--- a/src/emulator/protocol.hpp
+++ b/src/emulator/protocol.hpp
@@ -28,6 +28,12 @@
     bool fits(const Resources& space) const;
 };
 
+/// Largest amounts that a team's tasks may use at any time.
+struct TeamLimit {
+    double cores = 0;
+    double accelerators = 0;
+};
+
 enum class JobForm : std::uint8_t { array, gang, service };
 enum class Priority : std::uint8_t { production, high, normal, best_effort };
 enum class JobStatus : std::uint8_t { queued, running, done, cancelled };
--- a/src/emulator/worker.cpp
+++ b/src/emulator/worker.cpp
@@ -291,7 +291,6 @@
 void Worker::resume() {
     if (!hung_) return;
     hung_ = false;
-    end_session_if_over(io::steady_now());
     runner_.thaw(true_now());
     set_usable(true, "hangs");
     resumed_.notify_all();
--- a/tests/emulator_models_test.cpp
+++ b/tests/emulator_models_test.cpp
@@ -3,10 +3,14 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <filesystem>
 #include <memory>
 #include <set>
 
 #include "emulator/checker.hpp"
+#include "emulator/model_faults.hpp"
+#include "emulator/report.hpp"
+#include "emulator/scenario.hpp"
 #include "emulator/worker.hpp"
 #include "stand_ins.hpp"
 
@@ -579,5 +583,300 @@
     EXPECT_FALSE(images.use("one"));
 }
 
+// --- scenarios ---
+
+constexpr const char* small_scenario = R"(
+name = "small"
+duration_s = 100
+[workers]
+report_s = 1
+lease_s = 9
+[[machine_type]]
+name = "m4"
+cores = 4
+memory_gb = 16
+price = 0.2
+boot_s = 1
+zones = ["north"]
+[[capacity]]
+type = "m4"
+zone = "north"
+ordinary = 2
+[[team]]
+name = "charts"
+cores = 8
+cores_max = 16
+[[job_class]]
+name = "tiles"
+cores = 2
+run_s = { median = 20 }
+)";
+
+std::string error_of(const std::string& text) {
+    try {
+        parse_scenario(text);
+    } catch (const ScenarioError& error) {
+        return error.what();
+    }
+    return "";
+}
+
+TEST(ScenarioTest, EveryScenarioFileIsReadAndItsFaultsAreInOrder) {
+    std::size_t read = 0;
+    for (const auto& entry : std::filesystem::directory_iterator(HATCHWIND_SCENARIOS)) {
+        const Scenario scenario = read_scenario(entry.path().string());
+        EXPECT_FALSE(scenario.job_classes.empty()) << entry.path();
+        EXPECT_TRUE(std::is_sorted(scenario.faults.begin(), scenario.faults.end(),
+                                   [](const Fault& a, const Fault& b) { return a.at < b.at; }));
+        EXPECT_LT(scenario.troubles_over_at(), from_seconds(scenario.duration_s)) << entry.path();
+        ++read;
+    }
+    EXPECT_GE(read, 4U);
+}
+
+TEST(ScenarioTest, ErrorsNameTheField) {
+    const std::string small = small_scenario;
+    EXPECT_EQ(error_of(small), "");
+    EXPECT_EQ(error_of("duration_s = 1"), "name: is missing (line 1)");
+    EXPECT_NE(error_of("name = \"x\"\nduration_s = true").find("duration_s: must be a number (line 2)"),
+              std::string::npos);
+    EXPECT_NE(error_of("colour = 1\n" + small).find("colour: is not known (line 1)"), std::string::npos);
+    EXPECT_NE(
+        error_of(small + "form = \"choir\"\n").find("job_class[0].form: is \"choir\", must be one of array"),
+        std::string::npos);
+    EXPECT_NE(error_of(small + "team = \"nobody\"\n").find("job_class.team: team \"nobody\""),
+              std::string::npos);
+    EXPECT_NE(
+        error_of(small + "[[fault]]\nat_s = 3\nkind = \"state_outage\"\n").find("fault[0].for_s: is missing"),
+        std::string::npos);
+    EXPECT_NE(error_of(small + "[[fault]]\nat_s = 3\nkind = \"earthquake\"\n").find("fault[0].kind: is"),
+              std::string::npos);
+    EXPECT_NE(error_of(small + "[[fault]]\nat_s = 3\nkind = \"late_writes\"\nfor_s = 2\nshare = 2\n")
+                  .find("fault[0].share: must be from 0 to 1"),
+              std::string::npos);
+    EXPECT_NE(error_of(small + "[[fault]]\nat_s = 3\nkind = \"odd_requests\"\nfor_s = 2\nmode = \"hold\"\n")
+                  .find("fault[0].mode: is not known"),
+              std::string::npos);
+    EXPECT_NE(error_of("name =").find("not TOML"), std::string::npos);
+}
+
+TEST(ScenarioTest, ValuesArriveWhereTheyBelong) {
+    const Scenario scenario =
+        parse_scenario(std::string{small_scenario} +
+                       "[[fault]]\nat_s = 30\nkind = \"controller_cut\"\nbusiest = true\n"
+                       "from = [\"state\", \"peers\"]\nmode = \"refuse\"\nfor_s = 12\n");
+    ASSERT_EQ(scenario.faults.size(), 1U);
+    const Fault& fault = scenario.faults[0];
+    EXPECT_EQ(fault.mode, CutBehaviour::refuse);
+    EXPECT_TRUE(fault.from.state && fault.from.peers);
+    EXPECT_FALSE(fault.from.workers || fault.from.users);
+    EXPECT_EQ(scenario.troubles_over_at(), at(42));
+    EXPECT_EQ(checker_rules(scenario).teams.at("charts").cores, 16);
+    EXPECT_EQ(worker_times(scenario).lease, at(9));
+}
+
+TEST(JobDrawerTest, IdsAreNotRepeatedAndJobsFitTheirTeamsLimit) {
+    JobClass drawn;
+    drawn.name = "tiles";
+    drawn.form = JobForm::service;
+    drawn.per_task = {4, 0, 1};
+    drawn.tasks.distribution = {20, 50, 100};
+    drawn.run_s = {10, 20, 30};
+    JobDrawer drawer({{"charts", {1, {16, 0}}}, {"tiny", {5, {2, 0}}}}, 7);
+    std::set<std::string> ids;
+    for (int i = 0; i < 2000; ++i) {
+        const auto [spec, truth] = drawer.draw(drawn);
+        EXPECT_EQ(spec.team, "charts");
+        EXPECT_LE(spec.tasks, 4U);
+        EXPECT_LE(truth.run_s, 30);
+        ids.insert(spec.id);
+    }
+    EXPECT_EQ(ids.size(), 2000U);
+}
+
+// --- cloud ---
+
+class CloudTest : public testing::Test {
+  protected:
+    CloudTest() {
+        CloudConfig config = cloud_config(parse_scenario(small_scenario));
+        config.requests_per_s = 100;
+        config.answer_s = 0.001;
+        config.slow_boot_share = 0;
+        config.address_of = [](std::uint32_t number) { return io::Address{0x0a010000U + number, 9000}; };
+        CloudHooks hooks;
+        hooks.boot = [this](const MachineIdentity& machine, io::Address) { up.push_back(machine.id); };
+        hooks.remove = [this](const std::string& machine) { removed.push_back(machine); };
+        hooks.notice = [this](const std::string& machine, Micros) { noticed.push_back(machine); };
+        cloud = std::make_unique<Cloud>(loop, config, hooks, recorder, address);
+    }
+    // Sends the requests one after the other, then ends the loop after a pause.
+    void play(std::vector<std::pair<std::string, Json>> requests, double pause = 0) {
+        scope.spawn(send(std::move(requests), pause));
+        loop.run();
+    }
+    io::Task<void> send(std::vector<std::pair<std::string, Json>> requests, double pause) {
+        for (const auto& [target, body] : requests) {
+            const std::string method = body.is_null() ? "GET" : "POST";
+            const std::string encoded = body.is_null() ? "" : wire::encode(body);
+            const Micros deadline = io::steady_now() + at(5);
+            auto sending = client.send(address, method, target, encoded, deadline);
+            const io::HttpReply reply = co_await std::move(sending);
+            statuses.push_back(reply.status);
+            answers.push_back(wire::decode(reply.body).value_or(Json{}));
+        }
+        co_await loop.sleep(at(pause));
+        loop.stop();
+    }
+    static Json ask(const std::string& name, int number) {
+        return {{"ask", name}, {"build", "m4"}, {"roost", "north"}, {"borrowed", false}, {"number", number}};
+    }
+
+    io::Loop loop;
+    io::Scope scope;
+    io::HttpClient client{loop};
+    Recorder recorder{[] { return io::steady_now(); }};
+    io::Address address = test::local(test::free_port());
+    std::vector<std::string> up, removed, noticed;
+    std::vector<int> statuses;
+    std::vector<Json> answers;
+    std::unique_ptr<Cloud> cloud;
+};
+
+TEST_F(CloudTest, ARepeatedRequestNameRentsNothingAndARefusedOneMayBeUsedAgain) {
+    play({{"/rentals", ask("r-1", 1)},
+          {"/rentals", ask("r-1", 1)},
+          {"/rentals", ask("r-2", 5)},
+          {"/rentals", ask("r-3", 1)},
+          {"/rentals/release", {{"perches", {"n-000001", "n-000077"}}}},
+          {"/rentals", ask("r-3", 1)},
+          {"/rentals", ask("r-1", 2)}});
+    EXPECT_EQ(statuses, (std::vector<int>{200, 200, 200, 503, 200, 200, 200}));
+    EXPECT_EQ(answers[0], answers[1]);
+    EXPECT_EQ(answers[2]["perches"].size(), 1U);  // only partly filled
+    EXPECT_EQ(answers[3]["error"], "no capacity");
+    EXPECT_EQ(answers[5]["perches"][0], "n-000003");
+    EXPECT_EQ(answers[6], answers[0]);
+    EXPECT_EQ(cloud->name_conflicts(), 1U);
+}
+
+TEST_F(CloudTest, MalformedRequestsAreRefused) {
+    Json lacking = ask("r-1", 1);
+    lacking.erase("borrowed");
+    play({{"/rentals", lacking}, {"/rentals", ask("r-1", 51)}, {"/rentals/release", {{"perches", 3}}}});
+    EXPECT_EQ(statuses, (std::vector<int>{400, 400, 400}));
+}
+
+TEST_F(CloudTest, AMachineComesUpAndTheListLags) {
+    play({{"/rentals", ask("r-1", 1)}, {"/rentals?after=&most=500", nullptr}}, 1.7);
+    EXPECT_EQ(up, std::vector<std::string>{"n-000001"});
+    EXPECT_EQ(cloud->running().size(), 1U);
+    EXPECT_GT(cloud->spent(), 0);
+    EXPECT_FALSE(answers[1]["hasNext"].get<bool>());
+}
+
+TEST_F(CloudTest, AnOutageIsAnsweredWithTrouble) {
+    cloud->set_outage(true);
+    play({{"/catalog", nullptr}});
+    EXPECT_EQ(statuses, std::vector<int>{503});
+    EXPECT_EQ(answers[0]["error"], "trouble");
+}
+
+TEST_F(CloudTest, ASpotMachineIsTakenAfterItsNotice) {
+    cloud->start_with("m4", "north", true, 2);
+    cloud->take("n-000001", at(0.1));
+    cloud->take("n-000002", at(0));
+    play({}, 0.2);
+    EXPECT_EQ(noticed, std::vector<std::string>{"n-000001"});
+    EXPECT_EQ(removed, (std::vector<std::string>{"n-000002", "n-000001"}));
+}
+
+// --- users ---
+
+// A controller that accepts every job and calls it done at its third question.
+class UsersTest : public testing::Test {
+  protected:
+    UsersTest() {
+        recorder.add(figures);
+        scope.spawn(server.serve());
+        UsersConfig config = users_config(parse_scenario(small_scenario));
+        config.classes[0].initial = 2;
+        config.poll_every = at(0.1);
+        config.initial_within = at(0.1);
+        users = std::make_unique<Users>(loop, config, UsersHooks{}, std::vector<NodeAddress>{{"ctl-0", node}},
+                                        board, recorder);
+    }
+    io::Task<io::HttpResponse> handle(io::HttpRequest request) {
+        if (request.target == "/healthz") co_return test::reply(200);
+        ++requests;
+        if (request.method == "POST" && request.target == "/api/jobs") {
+            const Json body = *wire::decode(request.body);
+            if (!submitted.insert(body["id"]).second) co_return test::reply(200, {{"status", "running"}});
+            co_return test::reply(busy ? 503 : 201, {{"id", body["id"]}, {"status", "queued"}});
+        }
+        const bool over = ++questions[request.target] >= 3;
+        co_return test::reply(200, {{"status", over ? "done" : "running"}, {"done", 0}, {"running", 1}});
+    }
+    io::Task<void> stop_after(double seconds) {
+        co_await loop.sleep(at(seconds));
+        loop.stop();
+    }
+    void play(double seconds) {
+        scope.spawn(stop_after(seconds));
+        loop.run();
+    }
+
+    io::Loop loop;
+    io::Scope scope;
+    Figures figures;
+    Recorder recorder{[] { return io::steady_now(); }};
+    JobBoard board{recorder};
+    bool busy = false;
+    std::size_t requests = 0;
+    std::set<std::string> submitted;
+    std::map<std::string, int> questions;
+    io::Address node = test::local(test::free_port());
+    io::HttpServer server{
+        loop, node, {}, [this](io::HttpRequest request) { return handle(std::move(request)); }};
+    std::unique_ptr<Users> users;
+};
+
+TEST_F(UsersTest, JobsAreSubmittedAndFollowedToTheirEnd) {
+    play(1.5);
+    EXPECT_EQ(submitted.size(), 2U);
+    EXPECT_EQ(users->unfinished(), 0U);
+    EXPECT_NE(figures.figures_text(0).find("class tiles: 2 submitted, 2 accepted, 2 done, 0 cancelled"),
+              std::string::npos);
+}
+
+TEST_F(UsersTest, ARefusedSubmissionIsRepeatedAfterASecond) {
+    busy = true;
+    play(3);
+    EXPECT_EQ(submitted.size(), 2U);
+    EXPECT_NE(figures.figures_text(0).find("submit 200: 2; submit 503: 2;"), std::string::npos);
+}
+
+// --- report ---
+
+TEST(ReportTest, PercentilesAreThoseOfTheValues) {
+    TimeSeries series;
+    for (int i = 1; i <= 101; ++i) series.add(i);
+    EXPECT_EQ(series.percentile(0.5), 51);
+    EXPECT_EQ(series.percentile(0.95), 96);
+    EXPECT_EQ(series.percentile(1), 101);
+    EXPECT_NE(series.text("wait").find("wait: 101 values, median 51.000 s"), std::string::npos);
+}
+
+TEST_F(CheckerTest, TheVerdictNamesTheRuleAndTellsTheHistory) {
+    submit(1, plain_job("req-1"));
+    place(2, "req-1", 0, "n-1");
+    EXPECT_TRUE(run_is_right(*checker_));
+    place(3, "req-1", 0, "n-2", 2);
+    EXPECT_FALSE(run_is_right(*checker_));
+    const std::string text = verdict_text(*checker_);
+    EXPECT_EQ(text.find("BROKEN ran_twice at 3.000 s: req-1/0 starts on n-2 while it is on n-1"), 0U);
+    EXPECT_NE(text.find("2.000000 s  req-1/0 attempt 1 on machine n-1"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace hatchwind::emulator
