--- a/tests/emulator_test.cpp
+++ b/tests/emulator_test.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "emulator/deployment.hpp"
+#include "emulator/play.hpp"
 #include "io/http.hpp"
 #include "wire/cbor.hpp"
 
@@ -217,6 +218,56 @@
 
 TEST(EmulatedRun, AnotherSeedGivesAnotherTrace) { EXPECT_NE(cluster_trace(7), cluster_trace(8)); }
 
+std::string scenario_trace(const std::string& name, std::uint64_t seed) {
+    auto scenario = emulator::read_scenario(std::string{HATCHWIND_SCENARIOS} + "/" + name + ".toml");
+    scenario.seed = seed;
+    emulator::PlayOptions options;
+    options.trace_packets = true;
+    emulator::Play play(std::move(scenario), options);
+    play.run();
+    return play.world().trace().text() + play.figures() + play.verdict();
+}
+
+TEST(EmulatedScenario, SameSeedGivesTheSameTraceAndFiguresToTheByte) {
+    for (const char* name : {"curious_users", "one_way"}) {
+        const std::string first = scenario_trace(name, 5);
+        const std::string second = scenario_trace(name, 5);
+        EXPECT_GT(first.size(), 1'000'000U) << name;
+        EXPECT_TRUE(first == second) << name;
+        EXPECT_FALSE(first == scenario_trace(name, 6)) << name;
+    }
+}
+
+TEST(EmulatedScenario, QuietDayBreaksNoRuleAndServesEverybody) {
+    emulator::Play play(emulator::read_scenario(std::string{HATCHWIND_SCENARIOS} + "/quiet.toml"), {});
+    play.run();
+    EXPECT_TRUE(play.right()) << play.verdict();
+    EXPECT_GT(play.checker().counts().starts, 10U);
+}
+
+TEST(EmulatedScenario, MachineThatComesUpInACutZoneIsCutOffToo) {
+    World world(seeded(9));
+    Host& inside = world.add_host("inside", {"a"});
+    Host& outside = world.add_host("outside", {"b"});
+    world.network().cut_sides(
+        [](const Host& host) { return host.zone() == "a" ? emulator::Side::one : emulator::Side::two; },
+        CutMode::hold);
+    Host& later = world.add_host("later", {"a"});
+    std::array<EchoClient*, 2> clients{};
+    later.start([&] { return std::make_shared<EchoServer>(later); });
+    std::size_t next = 0;
+    for (Host* host : {&inside, &outside}) {
+        host->start([&] {
+            auto made = std::make_shared<EchoClient>(*host, later.address(80), world);
+            clients.at(next++) = made.get();
+            return made;
+        });
+    }
+    world.run_for(seconds(5));
+    EXPECT_GT(clients[0]->answered.size(), 40U);
+    EXPECT_EQ(clients[1]->answered.size(), 0U);
+}
+
 TEST(EmulatedHost, ClockDriftsAsTold) {
     World world(seeded(1));
     const Host& exact = world.add_host("exact");
