--- a/src/emulator/store.cpp
+++ b/src/emulator/store.cpp
@@ -62,10 +62,12 @@
         !std::all_of(writes.begin(), writes.end(), valid_write))
         return malformed("malformed");
     if (writes.size() > limits.writes || conditions.size() > 4 * limits.writes) return malformed("too many");
-    if (static_cast<double>(json_bytes(request)) > limits.transaction_kb * 1024)
-        return malformed("too large");
+    const auto bytes = static_cast<double>(json_bytes(request));
+    if (bytes > limits.transaction_kb * 1024) return malformed("too large");
+    // Values are parts of the whole: one that is small enough holds none that is too large.
+    const double most = limits.value_kb * 1024;
     for (const Json& write : writes) {
-        if (write.contains("write") && static_cast<double>(json_bytes(write["v"])) > limits.value_kb * 1024)
+        if (bytes > most && write.contains("write") && static_cast<double>(json_bytes(write["v"])) > most)
             return malformed("value too large");
     }
     for (const Json& write : writes) {
