--- a/src/emulator/play.cpp
+++ b/src/emulator/play.cpp
@@ -167,7 +167,8 @@
     model_faults_->join(*fleet_.at(machine.id));
 }
 
-void Play::remove(const std::string& machine) {
+// By value: the name may be the key that is erased.
+void Play::remove(std::string machine) {
     if (fleet_.erase(machine) != 0) world_.host(machine).kill(KillMode::silent);
 }
 
--- a/src/emulator/play.hpp
+++ b/src/emulator/play.hpp
@@ -57,7 +57,7 @@
     std::vector<NodeAddress> controllers() const;
     void make_actors();
     void boot(const MachineIdentity& machine, io::Address address);
-    void remove(const std::string& machine);
+    void remove(std::string machine);
     void schedule(const Fault& fault);
     void begin(const Fault& fault);
     void end(const Fault& fault);
