--- a/src/emulator/checker_service.cpp
+++ b/src/emulator/checker_service.cpp
@@ -6,7 +6,7 @@
 namespace hatchwind::emulator {
 
 namespace {
-constexpr Micros waiting_check_every{1'000'000};
+constexpr Micros waiting_check_every{5'000'000};
 }
 
 void Checker::advance(Micros now) {
--- a/src/emulator/cloud.cpp
+++ b/src/emulator/cloud.cpp
@@ -274,6 +274,15 @@
     return line;
 }
 
+// Machines that no list shows any more, however late it is.
+void Cloud::forget_gone() {
+    constexpr Micros margin{60'000'000};
+    const Micros kept = from_seconds(config_.list_lag_s * 2) + margin;
+    std::erase_if(machines_, [&](const auto& entry) {
+        return entry.second.gone_at && *entry.second.gone_at + kept < now();
+    });
+}
+
 io::HttpResponse Cloud::list(const std::string& target) {
     const std::string after = query_value(target, "after");
     const std::string most_text = query_value(target, "most");
@@ -284,6 +293,7 @@
     constexpr double doubled_share = 0.1;
     const double lag_s = config_.list_lag_s * random_.uniform(0, random_.chance(doubled_share) ? 2 : 1);
     const Micros seen_at = now() - from_seconds(lag_s);
+    forget_gone();
     std::vector<RentalLine> lines;
     bool more = false;
     for (auto machine = machines_.upper_bound(after); machine != machines_.end(); ++machine) {
--- a/src/emulator/cloud.hpp
+++ b/src/emulator/cloud.hpp
@@ -110,6 +110,7 @@
     Micros draw_boot_time(const MachineType& type, bool& never);
     void bring_up(Machine& machine);
     void end_machine(Machine& machine);
+    void forget_gone();
     double spot_price(const MachineType& type) const;
     std::optional<RentalLine> line_at(Machine& machine, Micros seen_at);
     Micros now() const { return recorder_.now(); }
--- a/src/emulator/scenario.cpp
+++ b/src/emulator/scenario.cpp
@@ -172,6 +172,9 @@
     for (const InitialMachines& machines : scenario.machines) require_type("machine.type", machines.type);
     for (const JobClass& drawn : scenario.job_classes) {
         for (const std::string& type : drawn.machine_types) require_type("job_class.machine_types", type);
+        const auto holds = [&](const MachineType& type) { return drawn.per_task.fits(type.size); };
+        if (std::none_of(scenario.machine_types.begin(), scenario.machine_types.end(), holds))
+            throw ScenarioError("job_class.cores: a task of \"" + drawn.name + "\" fits no machine type");
         const auto named = [&](const TeamSpec& team) { return team.name == drawn.team; };
         if (drawn.team && std::none_of(scenario.teams.begin(), scenario.teams.end(), named))
             throw ScenarioError("job_class.team: team \"" + *drawn.team + "\" is not known");
--- a/src/emulator/worker.cpp
+++ b/src/emulator/worker.cpp
@@ -44,6 +44,8 @@
       server_(loop, listen_at, {}, [this](io::HttpRequest request) { return handle(std::move(request)); }) {
     world_.recorder.record(
         MachineUp{machine_.id, machine_.type.name, machine_.zone, machine_.spot, machine_.type.size});
+    // The service is right to avoid it, so its room is no room.
+    if (machine_.error_share > 0) set_usable(false, "faulty");
     scope_.spawn(server_.serve());
     scope_.spawn(run_tasks());
     scope_.spawn(report_for_good());
--- a/tests/emulator_models_test.cpp
+++ b/tests/emulator_models_test.cpp
@@ -644,6 +644,9 @@
     EXPECT_NE(
         error_of(small + "form = \"choir\"\n").find("job_class[0].form: is \"choir\", must be one of array"),
         std::string::npos);
+    EXPECT_NE(
+        error_of(small + "accelerators = 1\n").find("job_class.cores: a task of \"tiles\" fits no machine"),
+        std::string::npos);
     EXPECT_NE(error_of(small + "team = \"nobody\"\n").find("job_class.team: team \"nobody\""),
               std::string::npos);
     EXPECT_NE(
