Placement and renting serve the deadline and priority of waiting jobs

Users set the deadline and the priority that they care about on the last job of a pipeline. The jobs before it were placed as if nobody needed them: best effort, due whenever their class says.

core/pipeline_schedule works back from each deadline, over estimates with a safety factor and an allowance for each start, and gives every job that others need an inherited priority and a due time; one pass over the waiting jobs and what they name, without recursion. Queue order, preemption, claims and renting use both. A deadline that even short runs would miss gives way to the next one. An inherited priority stops others' work only once the latest start has come, or half of what the class may wait is over: before that a stop would cost work for time that the pipeline has. Renting ahead of releases is a setting, off: not measured.

Tests: generated graphs against a model that walks every path; each planner by hand; a pass with waiting jobs that ask for nothing equals the pass without them.

--- a/src/core/aging.cpp
+++ b/src/core/aging.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr double kLeastLateDueSeconds = 240.0;
-// Estimates are often wrong by half: what might still be met counts as such.
-constexpr double kTrustedShareOfEstimate = 0.5;
 
 // Once all wishes are missed: behind what can still be met, since serving the latest first under overload
 // makes every job late in turn; but by a time of its own, so that newcomers do not pass it for ever.
@@ -32,6 +30,28 @@
     return last;
 }
 
+// The job's own wishes, without what pipelines ask of it.
+Micros own_due_time(const Job& job, const std::vector<Objective>& objectives, Micros wall) {
+    const Micros run = from_seconds(job.estimate_s * kTrustedShareOfEstimate);
+    Micros due = late_due(job, last_wish(job, objectives));
+    const auto consider = [&](double within_s) {
+        const Micros at = job.accepted + from_seconds(within_s);
+        if (at >= wall + run) due = std::min(due, at);
+    };
+    if (job.deadline_s) consider(*job.deadline_s);
+    for (const auto& objective : objectives) {
+        if (objective.job_class == job.job_class && objective.within_s > 0)
+            consider(done_within(job, objective));
+    }
+    return due;
+}
+
+Micros earlier_if_needed(const Job& job, Micros own_due, const PipelineSchedule* pipelines) {
+    const InheritedDemand* inherited = pipelines == nullptr ? nullptr : pipelines->find(job.id);
+    if (inherited == nullptr || !inherited->due) return own_due;
+    return std::min(own_due, *inherited->due);
+}
+
 struct QueuePosition {
     int rank;  // lower goes first
     Micros due;
@@ -43,27 +63,32 @@
            std::tie(right.rank, right.due, right.entry->job.id);
 }
 
-QueuePosition position_of(const JobEntry& entry, const std::vector<Objective>& objectives, Micros wall) {
-    const Micros due = due_time(entry.job, objectives, wall);
-    // What is late even by its last due time goes before other arrays of any priority.
-    int rank = -static_cast<int>(entry.job.priority);
-    if (wall > due) rank = std::min(rank, -static_cast<int>(Priority::high));
-    return {rank, due, &entry};
+QueuePosition position_of(const JobEntry& entry, const std::vector<Objective>& objectives, Micros wall,
+                          const PipelineSchedule* pipelines) {
+    const Micros own_due = own_due_time(entry.job, objectives, wall);
+    // What is late even by its last due time goes before other arrays of any priority. The time that a
+    // pipeline leaves is a plan with a margin: to be past it raises no priority.
+    int rank = -static_cast<int>(effective_priority(entry.job, pipelines));
+    if (wall > own_due) rank = std::min(rank, -static_cast<int>(Priority::high));
+    return {rank, earlier_if_needed(entry.job, own_due, pipelines), &entry};
 }
 
 }  // namespace
 
-Micros due_time(const Job& job, const std::vector<Objective>& objectives, Micros wall) {
-    const Micros run = from_seconds(job.estimate_s * kTrustedShareOfEstimate);
-    Micros due = late_due(job, last_wish(job, objectives));
-    const auto consider = [&](double within_s) {
-        const Micros at = job.accepted + from_seconds(within_s);
-        if (at >= wall + run) due = std::min(due, at);
+Micros due_time(const Job& job, const std::vector<Objective>& objectives, Micros wall,
+                const PipelineSchedule* pipelines) {
+    return earlier_if_needed(job, own_due_time(job, objectives, wall), pipelines);
+}
+
+Micros deadline_still_met(const Job& job, const std::vector<Objective>& objectives, Micros soonest_done) {
+    Micros due = late_due(job, *job.deadline_s);
+    const auto consider = [&](double times) {
+        const Micros at = job.accepted + from_seconds(*job.deadline_s * times);
+        if (at >= soonest_done) due = std::min(due, at);
     };
-    if (job.deadline_s) consider(*job.deadline_s);
+    consider(1);
     for (const auto& objective : objectives) {
-        if (objective.job_class == job.job_class && objective.within_s > 0)
-            consider(done_within(job, objective));
+        if (objective.kind == "deadline" && objective.job_class == job.job_class) consider(objective.times);
     }
     return due;
 }
@@ -77,11 +102,12 @@
 }
 
 std::vector<const JobEntry*> queue_order(const Ledger& ledger, const std::set<std::string>& teams,
-                                         const std::vector<Objective>& objectives, Micros wall) {
+                                         const std::vector<Objective>& objectives, Micros wall,
+                                         const PipelineSchedule* pipelines) {
     std::vector<QueuePosition> positions;
     for (const auto& [id, entry] : ledger.jobs()) {
         if (entry.job.cancelled || entry.unstarted() == 0 || !teams.contains(entry.job.team)) continue;
-        positions.push_back(position_of(entry, objectives, wall));
+        positions.push_back(position_of(entry, objectives, wall, pipelines));
     }
     std::sort(positions.begin(), positions.end(), goes_before);
     std::vector<const JobEntry*> queue;
--- a/src/core/fleet_planner.cpp
+++ b/src/core/fleet_planner.cpp
@@ -35,7 +35,7 @@
     std::map<Pool, std::uint32_t> run() {
         std::set<std::string> teams;
         for (const auto& [name, team] : *in_.teams) teams.insert(name);
-        const auto queue = queue_order(*in_.ledger, teams, *in_.objectives, in_.wall);
+        const auto queue = queue_order(*in_.ledger, teams, *in_.objectives, in_.wall, in_.pipelines);
         // Tasks that never end, and gangs, need room of their own now.
         for (const JobEntry* e : queue) {
             if (e->job.kind != JobKind::array) place_all(*e);
@@ -47,6 +47,7 @@
         for (const JobEntry* e : queue) {
             if (e->job.kind == JobKind::array) place_share(*e);
         }
+        rent_ahead();
         return std::move(rent_);
     }
 
@@ -150,8 +151,8 @@
 
     // The part of the wanted time for which a task of this job needs its place.
     double time_share(const Job& j, double run) const {
-        const double left =
-            static_cast<double>((due_time(j, *in_.objectives, in_.wall) - in_.wall).count()) / 1e6 - run;
+        const Micros due = due_time(j, *in_.objectives, in_.wall, in_.pipelines);
+        const double left = static_cast<double>((due - in_.wall).count()) / 1e6 - run;
         return std::min(1.0, run / std::max(left * settings_.slack_share, settings_.least_queue_s));
     }
 
@@ -188,6 +189,34 @@
         owed_ = got < whole ? std::min(owed_ - got, 1.0) : owed_ - got;
     }
 
+    // Jobs that will be released soon, after all that is released already.
+    void rent_ahead() {
+        if (in_.pipelines == nullptr || settings_.release_ahead_s <= 0) return;
+        const Micros until = in_.wall + from_seconds(settings_.release_ahead_s);
+        for (const auto& release : in_.pipelines->upcoming()) {
+            const Job& job = release.entry->job;
+            if (release.soonest > until || !in_.teams->contains(job.team_once_released)) continue;
+            const JobEntry released = as_released(job, release.soonest);
+            if (job.kind == JobKind::array) {
+                place_share(released);
+            } else {
+                place_all(released);
+            }
+        }
+    }
+
+    static JobEntry as_released(const Job& waiting, Micros at) {
+        JobEntry entry;
+        entry.job = waiting;
+        entry.job.team = waiting.team_once_released;
+        entry.job.accepted = at;
+        if (waiting.deadline_s) {
+            const Micros deadline = waiting.accepted + from_seconds(*waiting.deadline_s);
+            entry.job.deadline_s = static_cast<double>((deadline - at).count()) / 1e6;
+        }
+        return entry;
+    }
+
     const FleetSettings& settings_;
     const FleetInput& in_;
     FreeCapacity& room_;
--- a/src/core/fleet_planner.hpp
+++ b/src/core/fleet_planner.hpp
@@ -24,6 +24,8 @@
     double slack_share = 0.8;
     double least_queue_s = 15;
     std::size_t most_per_round = 20;
+    // Rent also for waiting jobs that may be released within this time; 0: only for what is released.
+    double release_ahead_s = 0;
 };
 
 struct FleetInput {
@@ -32,10 +34,11 @@
     const Catalog* catalog = nullptr;
     const std::map<std::string, Team>* teams = nullptr;
     const std::vector<Objective>* objectives = nullptr;
-    std::vector<Rental> booting;           // rented, not reporting yet, not overdue
-    std::map<Pool, Micros> refused_until;  // steady
-    Micros now{};                          // steady
-    Micros wall{};                         // time of day
+    const PipelineSchedule* pipelines = nullptr;  // null: no job waits for others
+    std::vector<Rental> booting;                  // rented, not reporting yet, not overdue
+    std::map<Pool, Micros> refused_until;         // steady
+    Micros now{};                                 // steady
+    Micros wall{};                                // time of day
 };
 
 // How many machines to rent from which pool.
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -28,7 +28,8 @@
 
     PlacementResult run() {
         const PlacementInput& input = trial_.input();
-        const auto queue = queue_order(*input.ledger, input.own_teams, *input.objectives, input.wall);
+        const auto queue =
+            queue_order(*input.ledger, input.own_teams, *input.objectives, input.wall, input.pipelines);
         begin_overdue(overdue_jobs(queue, input.wall));
         hold_for_others_overdue();
         place_queue(queue);
--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -11,6 +11,7 @@
 #include "core/aging.hpp"
 #include "core/free_capacity.hpp"
 #include "core/ledger.hpp"
+#include "core/pipeline_schedule.hpp"
 
 namespace hatchwind::core {
 
@@ -42,6 +43,7 @@
     const Picture* picture = nullptr;
     const std::map<std::string, Team>* teams = nullptr;
     const std::vector<Objective>* objectives = nullptr;
+    const PipelineSchedule* pipelines = nullptr;  // null: no job waits for others
     std::set<std::string> own_teams;
     std::map<std::string, Micros> job_backoff;  // steady: until when the job's tasks are not tried
     std::map<TaskRef, Reservation> reservations;
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -34,9 +34,27 @@
     return job.kind != JobKind::array || trial_.input().wall - job.accepted >= patience_;
 }
 
+Priority Preemption::inherited_or_own(const Job& job) const {
+    return effective_priority(job, trial_.input().pipelines);
+}
+
+Priority Preemption::stopping_priority(const Job& job) const {
+    const PlacementInput& input = trial_.input();
+    const InheritedDemand* inherited = input.pipelines == nullptr ? nullptr : input.pipelines->find(job.id);
+    if (inherited == nullptr) return job.priority;
+    // A stop costs work that is lost. While the pipeline has time left, the job waits for what ends by
+    // itself.
+    if (!inherited->latest_start || input.wall >= *inherited->latest_start) return inherited->priority;
+    for (const auto& objective : *input.objectives) {
+        if (objective.kind != "wait" || objective.job_class != job.job_class) continue;
+        if (input.wall - job.accepted >= from_seconds(objective.within_s / 2)) return inherited->priority;
+    }
+    return job.priority;
+}
+
 bool Preemption::may_stop(const Job& job, const Claim& claim, const Victim& victim) {
     if (claim <= victim.claim) return false;
-    if (job.priority > victim.entry->job.priority) return true;
+    if (claim.priority > victim.claim.priority) return true;
     if (job.team == victim.entry->job.team || claim.rank == Claim::Rank::beyond_guarantee) return false;
     return victim.team_use->cpus > victim.team->cpus + kSlack ||
            victim.team_use->gpus > victim.team->gpus + kSlack;
@@ -44,7 +62,7 @@
 
 bool Preemption::never_stopped(const TaskRef& task, const Job& job) const {
     // A gang loses far more than one task's capacity.
-    return job.priority == Priority::production || job.kind == JobKind::gang ||
+    return inherited_or_own(job) == Priority::production || job.kind == JobKind::gang ||
            !trial_.input().teams->contains(job.team) || trial_.input().stopping.contains(task);
 }
 
@@ -52,7 +70,7 @@
     // The first task of a job that had to begin comes last of all: stopped, the job has not begun, and on a
     // full fleet that went on for minutes.
     const bool begun_late = entry.open == 1 && waited_too_long(entry, trial_.input().wall);
-    const int priority = static_cast<int>(entry.job.priority) + (begun_late ? kBegunLatePenalty : 0);
+    const int priority = static_cast<int>(inherited_or_own(entry.job)) + (begun_late ? kBegunLatePenalty : 0);
     return {priority, lost_work(entry.job, state), entry.job.need.cpus};
 }
 
@@ -149,7 +167,7 @@
     const Job& job = entry.job;
     if (trial_.result().stops.size() >= trial_.input().most_stops) return false;
     if (!may_preempt_yet(job)) return false;
-    const Claim claim = claims_.claim(job);
+    const Claim claim = claims_.claim(job, stopping_priority(job));
     // A search that found nothing finds nothing for the next job of that shape and claim.
     const SearchKey key{shape(job), claim, job.team, with_image ? job.image : std::string{}};
     if (without_victims_.contains(key)) return false;
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -66,6 +66,9 @@
     };
 
     bool may_preempt_yet(const Job& job) const;
+    Priority inherited_or_own(const Job& job) const;
+    // The priority with which the job stops others.
+    Priority stopping_priority(const Job& job) const;
     static bool may_stop(const Job& job, const Claim& claim, const Victim& victim);
     bool worth_a_look(const Request& request, const MachineCapacity& machine) const;
     // The cheapest plan; without victims when there is none.
--- a/src/core/team_claims.cpp
+++ b/src/core/team_claims.cpp
@@ -41,9 +41,13 @@
 }
 
 Claim TeamClaims::claim(const Job& job) {
-    if (job.priority == Priority::production) return {Claim::Rank::production, job.priority};
+    return claim(job, effective_priority(job, trial_.input().pipelines));
+}
+
+Claim TeamClaims::claim(const Job& job, Priority priority) {
+    if (priority == Priority::production) return {Claim::Rank::production, priority};
     const bool guaranteed = within_guarantee(job);
-    return {guaranteed ? Claim::Rank::guaranteed : Claim::Rank::beyond_guarantee, job.priority};
+    return {guaranteed ? Claim::Rank::guaranteed : Claim::Rank::beyond_guarantee, priority};
 }
 
 bool TeamClaims::counts_as_owed(const JobEntry& entry) {
@@ -83,8 +87,8 @@
 }
 
 bool TeamClaims::leaves_owed(const Job& job, std::size_t machine) {
-    if (job.kind != JobKind::array || job.priority == Priority::production || within_guarantee(job))
-        return true;
+    const Priority priority = effective_priority(job, trial_.input().pipelines);
+    if (job.kind != JobKind::array || priority == Priority::production || within_guarantee(job)) return true;
     const OwedCpus owed = owed_to_others(job.team);
     if (owed.any <= kSlack) return true;
     const bool spot = trial_.capacity().machines()[machine].spot;
--- a/src/core/team_claims.hpp
+++ b/src/core/team_claims.hpp
@@ -27,7 +27,10 @@
     // In the sense of the promise to teams: this job and the team's earlier unfinished ones fit into the
     // guarantee together. A team with a longer queue than that has no claim on others' running work.
     bool within_guarantee(const Job& job);
+    // With the priority that the job inherits, where others need it.
     Claim claim(const Job& job);
+    // With this priority in place of the job's.
+    Claim claim(const Job& job, Priority priority);
     // A task of this job on this machine leaves free what other teams are owed. Each owner filled what was
     // set free with its own queue, and the others stopped that again within seconds: on a full fleet a fifth
     // of all starts was lost so.
--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -155,6 +155,9 @@
         in.objectives = &node_.settings.objectives;
         in.now = now;
         in.wall = io::wall_now();
+        const auto pipelines =
+            core::PipelineSchedule::build(node_.ledger, node_.settings.objectives, in.wall);
+        in.pipelines = &pipelines;
         in.refused_until = refused_;
         for (const auto& [id, k] : known_) {
             if (node_.picture.find(id) != nullptr || k.rental.state == core::RentalState::failed ||
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -276,6 +276,8 @@
         any = any || (e.unstarted() > 0 && !e.job.cancelled && in.own_teams.contains(e.job.team));
     }
     if (!any) return 0;
+    const auto pipelines = core::PipelineSchedule::build(node_.ledger, node_.settings.objectives, in.wall);
+    in.pipelines = &pipelines;
     for (const auto& [id, t] : job_failures_) in.job_backoff[id] = t.until;
     in.reservations = reservations_;
     std::erase_if(stopping_, [&](const auto& s) { return s.second <= in.now; });
--- a/src/service/settings.cpp
+++ b/src/service/settings.cpp
@@ -236,6 +236,7 @@
     seconds("fleet.silent_release_seconds", 2, 3600, t.silent_release);
     take("fleet.slack_share", 0.01, 10, [&](double v) { t.fleet.slack_share = v; });
     take("fleet.least_queue_seconds", 1, 3600, [&](double v) { t.fleet.least_queue_s = v; });
+    take("fleet.release_ahead_seconds", 0, 3600, [&](double v) { t.fleet.release_ahead_s = v; });
     count("fleet.rent_per_round", 1, 50, t.fleet.most_per_round);
     count("fleet.minimum", 0, 100000, t.drain.fleet_minimum);
     seconds("drain.loop_seconds", 0.1, 600, t.drain_loop);
--- /dev/null
+++ b/tests/pipeline_schedule_test.cpp
@@ -0,0 +1,602 @@
+// What waiting jobs ask of the jobs before them, and what the planners make of it.
+#include "core/pipeline_schedule.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+#include "core/aging.hpp"
+#include "support.hpp"
+
+namespace hatchwind {
+namespace {
+
+using core::from_seconds;
+using core::InheritedDemand;
+using core::Job;
+using core::Micros;
+using core::PipelineSchedule;
+using core::Priority;
+using test::Cluster;
+using test::holds;
+
+const std::vector<core::Objective> kNoObjectives;
+
+Job ordinary_job(const std::string& id, Priority priority, std::uint32_t tasks = 1, double cpus = 1) {
+    Job job = test::job(id, "x", tasks, cpus);
+    job.priority = priority;
+    return job;
+}
+
+Job waiting_job(const std::string& id, Priority priority, std::vector<std::string> awaits) {
+    Job job = ordinary_job(id, priority);
+    job.team_once_released = job.team;
+    job.team = core::kWaitingTeam;
+    job.awaits = std::move(awaits);
+    return job;
+}
+
+core::PlacementInput placement_input(const Cluster& cluster, const PipelineSchedule& pipelines) {
+    core::PlacementInput input;
+    input.ledger = &cluster.ledger;
+    input.picture = &cluster.picture;
+    input.teams = &cluster.teams;
+    input.objectives = &cluster.objectives;
+    input.pipelines = &pipelines;
+    for (const auto& [name, team] : cluster.teams) input.own_teams.insert(name);
+    input.now = cluster.now;
+    input.wall = cluster.now;
+    return input;
+}
+
+core::FleetInput fleet_input(const Cluster& cluster, const PipelineSchedule& pipelines) {
+    core::FleetInput input;
+    input.ledger = &cluster.ledger;
+    input.picture = &cluster.picture;
+    input.catalog = &cluster.types;
+    input.teams = &cluster.teams;
+    input.objectives = &cluster.objectives;
+    input.pipelines = &pipelines;
+    input.now = cluster.now;
+    input.wall = cluster.now;
+    return input;
+}
+
+PipelineSchedule schedule_of(const Cluster& cluster) {
+    return PipelineSchedule::build(cluster.ledger, cluster.objectives, cluster.now);
+}
+
+// One machine, full with one task of this job.
+void run_alone(Cluster& cluster, const Job& running, core::Stamp stamp) {
+    cluster.ledger.put_job(running, stamp);
+    core::Chunk chunk;
+    chunk.stamp = stamp + 1;
+    chunk.open[0] = {1, "n-1", 1};
+    cluster.ledger.put_chunk(running.id, 0, chunk);
+    auto report = test::report("n-1", "small", "a");
+    core::TaskReport task;
+    task.job = running.id;
+    task.attempt = 1;
+    task.state = core::TaskState::running;
+    report.tasks = {task};
+    cluster.picture.apply(report, cluster.now, cluster.now);
+}
+
+std::vector<std::string> queue_of(const Cluster& cluster, const PipelineSchedule* pipelines) {
+    std::vector<std::string> ids;
+    for (const auto* entry :
+         core::queue_order(cluster.ledger, {"x", "y"}, cluster.objectives, cluster.now, pipelines))
+        ids.push_back(entry->job.id);
+    return ids;
+}
+
+std::uint32_t machines(const std::map<core::Pool, std::uint32_t>& rentals) {
+    std::uint32_t sum = 0;
+    for (const auto& [pool, number] : rentals) sum += number;
+    return sum;
+}
+
+// ---- The schedule against a plain model: every path is walked, one after the other.
+
+class PlainModel {
+  public:
+    PlainModel(const core::Ledger& ledger, const std::vector<core::Objective>& objectives, Micros wall)
+        : ledger_(ledger), objectives_(objectives), wall_(wall) {}
+
+    bool needed(const std::string& id) const { return !needed_by(id).empty(); }
+
+    Priority priority(const std::string& id) const {
+        Priority highest = ledger_.find(id)->job.priority;
+        for (const auto& later : needed_by(id)) highest = std::max(highest, priority(later));
+        return highest;
+    }
+
+    // Over all paths from the job to one with a deadline.
+    std::optional<Micros> due(const std::string& id) const {
+        std::optional<Micros> earliest;
+        walk_paths(id, Micros{0}, earliest);
+        return earliest;
+    }
+
+    bool can_run(const std::string& id) const { return can_run(id, {}); }
+
+  private:
+    bool unfinished(const std::string& id) const {
+        const auto* entry = ledger_.find(id);
+        return entry != nullptr && (entry->job.cancelled || !entry->finished());
+    }
+    std::vector<std::string> needs(const std::string& id) const {
+        std::vector<std::string> found;
+        const Job& job = ledger_.find(id)->job;
+        if (!job.waiting()) return found;
+        for (const auto& before : job.awaits) {
+            if (unfinished(before)) found.push_back(before);
+        }
+        return found;
+    }
+    std::set<std::string> needed_by(const std::string& id) const {
+        std::set<std::string> found;
+        for (const auto& [later, entry] : ledger_.jobs()) {
+            const auto before = needs(later);
+            if (can_run(later) && std::find(before.begin(), before.end(), id) != before.end())
+                found.insert(later);
+        }
+        return found;
+    }
+    bool can_run(const std::string& id, std::set<std::string> on_path) const {
+        if (!on_path.insert(id).second || ledger_.find(id)->job.cancelled) return false;
+        const auto before = needs(id);
+        return std::all_of(before.begin(), before.end(),
+                           [&](const std::string& need) { return can_run(need, on_path); });
+    }
+    Micros soonest_done(const std::string& id) const {
+        Micros start = wall_;
+        for (const auto& before : needs(id)) start = std::max(start, soonest_done(before));
+        return start + from_seconds(ledger_.find(id)->job.estimate_s * 0.5);
+    }
+    Micros own_due(const Job& job) const {
+        std::vector<double> wishes{*job.deadline_s};
+        for (const auto& objective : objectives_) {
+            if (objective.kind == "deadline" && objective.job_class == job.job_class)
+                wishes.push_back(*job.deadline_s * objective.times);
+        }
+        std::sort(wishes.begin(), wishes.end());
+        for (const double wish : wishes) {
+            if (job.accepted + from_seconds(wish) >= soonest_done(job.id))
+                return job.accepted + from_seconds(wish);
+        }
+        return job.accepted + from_seconds(std::max(240.0, 2 * *job.deadline_s));
+    }
+    // `after`: what the stages between the first job of the path and this one take, with this one.
+    void walk_paths(const std::string& id, Micros after, std::optional<Micros>& earliest) const {
+        const Job& job = ledger_.find(id)->job;
+        if (job.deadline_s) {
+            const Micros at = own_due(job) - after;
+            if (!earliest || at < *earliest) earliest = at;
+        }
+        for (const auto& later : needed_by(id)) {
+            const double stage_s = ledger_.find(later)->job.estimate_s * 1.5 + 5;
+            walk_paths(later, after + from_seconds(stage_s), earliest);
+        }
+    }
+
+    const core::Ledger& ledger_;
+    const std::vector<core::Objective>& objectives_;
+    Micros wall_;
+};
+
+std::string random_job_id(int jobs) { return "req-" + std::to_string(100 + *rc::gen::inRange(0, jobs)); }
+
+// Small draws are the likeliest, so what should be rare is the largest.
+bool one_in(int number) { return *rc::gen::inRange(0, number) == number - 1; }
+
+core::Ledger draw_pipelines() {
+    core::Ledger ledger;
+    const int jobs = 8 - *rc::gen::inRange(0, 7);
+    // Some jobs name what was submitted after them: circles, which no user can make, must do no harm.
+    const bool circles = one_in(4);
+    for (int i = 0; i < jobs; ++i) {
+        const std::string id = "req-" + std::to_string(100 + i);
+        std::vector<std::string> awaits;
+        const int names = 3 - *rc::gen::inRange(0, 4);
+        for (int k = 0; k < names && (i > 0 || circles); ++k)
+            awaits.push_back(random_job_id(circles ? jobs : i));
+        const auto priority = static_cast<Priority>(*rc::gen::inRange(0, 4));
+        Job job = awaits.empty() ? ordinary_job(id, priority) : waiting_job(id, priority, awaits);
+        job.estimate_s = *rc::gen::inRange(0, 40);
+        job.accepted = Micros{*rc::gen::inRange(1, 100) * 1'000'000};
+        if (*rc::gen::inRange(0, 2) == 0) job.deadline_s = *rc::gen::inRange(-20, 250);
+        job.cancelled = one_in(8);
+        const bool waiting = job.waiting();
+        ledger.put_job(job, 1);
+        if (!waiting && one_in(4)) {
+            core::Chunk chunk;
+            chunk.stamp = 2;
+            chunk.done.insert(0);
+            ledger.put_chunk(id, 0, chunk);
+        }
+    }
+    // What is over has left the ledger.
+    if (one_in(3)) ledger.erase_job(random_job_id(jobs), 10);
+    return ledger;
+}
+
+TEST(PipelineSchedule, EqualsThePlainModelOnAnyGraph) {
+    holds("priority, due, latest start", [] {
+        const core::Ledger ledger = draw_pipelines();
+        std::vector<core::Objective> objectives;
+        if (*rc::gen::arbitrary<bool>()) objectives.push_back({"deadline", "c", 0, 0.9, 1.5});
+        const Micros wall{100'000'000};
+        const auto schedule = PipelineSchedule::build(ledger, objectives, wall);
+        const PlainModel model{ledger, objectives, wall};
+        std::size_t demands = 0;
+        std::set<std::string> upcoming;
+        for (const auto& [id, entry] : ledger.jobs()) {
+            const bool runs = model.can_run(id) && (entry.job.waiting() || !entry.finished());
+            if (runs && entry.job.waiting()) upcoming.insert(id);
+            const InheritedDemand* found = schedule.find(id);
+            const bool expected = runs && model.needed(id);
+            RC_ASSERT((found != nullptr) == expected);
+            if (!expected) continue;
+            ++demands;
+            RC_ASSERT(found->priority == model.priority(id));
+            RC_ASSERT(found->due == model.due(id));
+            RC_ASSERT(found->latest_start.has_value() == found->due.has_value());
+            if (found->due)
+                RC_ASSERT(*found->latest_start == *found->due - from_seconds(entry.job.estimate_s * 1.5 + 5));
+        }
+        RC_ASSERT(schedule.demands().size() == demands);
+        std::set<std::string> found_upcoming;
+        for (const auto& release : schedule.upcoming()) found_upcoming.insert(release.entry->job.id);
+        RC_ASSERT(found_upcoming == upcoming);
+        RC_TAG(demands > 0 ? "with demands" : "without");
+    });
+}
+
+TEST(PipelineSchedule, WorksBackAlongTheLongestPath) {
+    Cluster cluster;
+    cluster.ledger.put_job(ordinary_job("req-1", Priority::best_effort), 1);
+    auto longer = waiting_job("req-2", Priority::best_effort, {"req-1"});
+    longer.estimate_s = 40;
+    auto shorter = waiting_job("req-3", Priority::normal, {"req-1"});
+    shorter.estimate_s = 10;
+    auto last = waiting_job("req-4", Priority::high, {"req-2", "req-3"});
+    last.estimate_s = 8;
+    last.accepted = Micros{50'000'000};
+    last.deadline_s = 200;
+    for (const auto& job : {longer, shorter, last}) cluster.ledger.put_job(job, 1);
+    const auto schedule = schedule_of(cluster);
+    const Micros deadline{250'000'000};
+    const Micros last_starts = deadline - from_seconds(8 * 1.5 + 5);
+    EXPECT_EQ(schedule.find("req-2")->due, last_starts);
+    EXPECT_EQ(schedule.find("req-3")->due, last_starts);
+    EXPECT_EQ(schedule.find("req-1")->due, last_starts - from_seconds(40 * 1.5 + 5));
+    EXPECT_EQ(schedule.find("req-1")->latest_start,
+              *schedule.find("req-1")->due - from_seconds(30 * 1.5 + 5));
+    EXPECT_EQ(schedule.find("req-1")->priority, Priority::high);
+    EXPECT_EQ(schedule.find("req-4"), nullptr) << "nobody needs the last one";
+    EXPECT_EQ(schedule.upcoming().size(), 3U);
+}
+
+TEST(PipelineSchedule, ADeadlineThatNoRunCanMeetGivesWayToALaterOne) {
+    Cluster cluster;
+    cluster.now = Micros{200'000'000};
+    cluster.ledger.put_job(ordinary_job("req-1", Priority::best_effort), 1);
+    auto last = waiting_job("req-2", Priority::high, {"req-1"});
+    last.deadline_s = 200;  // at 201 s; half of both estimates ends at 230 s
+    cluster.ledger.put_job(last, 1);
+    const Micros stage = from_seconds(30 * 1.5 + 5);
+    EXPECT_EQ(schedule_of(cluster).find("req-1")->due, Micros{401'000'000} - stage) << "late: twice as long";
+    cluster.objectives = {{"deadline", "c", 0, 0.9, 1.5}};
+    EXPECT_EQ(schedule_of(cluster).find("req-1")->due, Micros{301'000'000} - stage) << "1.5 times can be met";
+}
+
+TEST(PipelineSchedule, ACancelledNeedAsksForNothing) {
+    Cluster cluster;
+    cluster.ledger.put_job(ordinary_job("req-1", Priority::best_effort), 1);
+    cluster.ledger.put_job(ordinary_job("req-2", Priority::best_effort), 1);
+    cluster.ledger.put_job(waiting_job("req-3", Priority::high, {"req-1", "req-2"}), 1);
+    EXPECT_EQ(schedule_of(cluster).find("req-1")->priority, Priority::high);
+    // The cascade has not reached the last job yet.
+    cluster.ledger.put_cancel("req-2", 2, cluster.now);
+    EXPECT_TRUE(schedule_of(cluster).demands().empty());
+    EXPECT_TRUE(schedule_of(cluster).upcoming().empty());
+}
+
+TEST(PipelineSchedule, BearsLongChainsAndWideFans) {
+    constexpr int kJobs = 20000;
+    core::Ledger chain;
+    core::Ledger fan;
+    std::vector<std::string> all;
+    const auto name = [](int i) { return "req-" + std::to_string(1'000'000 + i); };
+    for (int i = 0; i < kJobs; ++i) {
+        const auto priority = i == kJobs - 1 ? Priority::high : Priority::best_effort;
+        chain.put_job(
+            i == 0 ? ordinary_job(name(0), priority) : waiting_job(name(i), priority, {name(i - 1)}), 1);
+        fan.put_job(ordinary_job(name(i), Priority::best_effort), 1);
+        all.push_back(name(i));
+    }
+    // As many wait for each of the fan's jobs as each job waits for.
+    for (int i = 0; i < 20; ++i)
+        fan.put_job(waiting_job("req-last-" + std::to_string(i), Priority::high, all), 1);
+    const auto began = std::chrono::steady_clock::now();
+    const auto along_chain = PipelineSchedule::build(chain, kNoObjectives, Micros{100'000'000});
+    const auto along_fan = PipelineSchedule::build(fan, kNoObjectives, Micros{100'000'000});
+    const auto took = std::chrono::steady_clock::now() - began;
+    EXPECT_EQ(along_chain.demands().size(), static_cast<std::size_t>(kJobs - 1));
+    EXPECT_EQ(along_chain.find(name(0))->priority, Priority::high);
+    EXPECT_EQ(along_fan.demands().size(), static_cast<std::size_t>(kJobs));
+    EXPECT_EQ(along_fan.find(name(7))->priority, Priority::high);
+    // Quadratic work would be 400 million steps of each.
+    EXPECT_LT(took, std::chrono::seconds(15));
+}
+
+// ---- The queue.
+
+TEST(PipelineQueue, AChainWithADeadlineGoesBeforeOtherBestEffortWork) {
+    Cluster cluster;
+    cluster.ledger.put_job(ordinary_job("req-1", Priority::best_effort), 1);  // the older one
+    auto first = ordinary_job("req-2", Priority::best_effort);
+    first.accepted = Micros{90'000'000};
+    cluster.ledger.put_job(first, 1);
+    auto last = waiting_job("req-3", Priority::best_effort, {"req-2"});
+    last.accepted = Micros{90'000'000};
+    last.deadline_s = 150;
+    cluster.ledger.put_job(last, 1);
+    EXPECT_EQ(queue_of(cluster, nullptr), (std::vector<std::string>{"req-1", "req-2"}));
+    const auto schedule = schedule_of(cluster);
+    EXPECT_EQ(queue_of(cluster, &schedule), (std::vector<std::string>{"req-2", "req-1"}));
+}
+
+TEST(PipelineQueue, TheFirstJobOfAHighPipelineGoesBeforeNormalWork) {
+    Cluster cluster;
+    cluster.ledger.put_job(ordinary_job("req-1", Priority::normal), 1);
+    cluster.ledger.put_job(ordinary_job("req-2", Priority::best_effort), 1);
+    cluster.ledger.put_job(waiting_job("req-3", Priority::best_effort, {"req-2"}), 1);
+    auto schedule = schedule_of(cluster);
+    EXPECT_EQ(queue_of(cluster, &schedule), (std::vector<std::string>{"req-1", "req-2"}));
+    // The last job is submitted now: the need begins with it.
+    cluster.ledger.put_job(waiting_job("req-4", Priority::high, {"req-3"}), 1);
+    schedule = schedule_of(cluster);
+    EXPECT_EQ(queue_of(cluster, &schedule), (std::vector<std::string>{"req-2", "req-1"}));
+}
+
+// The wide stage in the middle has a wish for its wait from its release, the last job a deadline: whichever
+// is earlier counts, and the plan's margin alone raises no priority.
+TEST(PipelineQueue, TheEarlierOfOwnWishAndPipelineCounts) {
+    Cluster cluster;
+    cluster.objectives = {{"wait", "wide", 40, 0.96, 1}};
+    auto wide = ordinary_job("req-1", Priority::best_effort);
+    wide.job_class = "wide";
+    wide.accepted = cluster.now;
+    cluster.ledger.put_job(wide, 1);
+    auto last = waiting_job("req-2", Priority::best_effort, {"req-1"});
+    last.accepted = cluster.now;
+    last.deadline_s = 200;
+    cluster.ledger.put_job(last, 1);
+    auto schedule = schedule_of(cluster);
+    const Micros own = cluster.now + from_seconds(40 + 30);
+    EXPECT_EQ(core::due_time(wide, cluster.objectives, cluster.now, &schedule), own);
+    last.deadline_s = 80;
+    cluster.ledger.put_job(last, 2);
+    schedule = schedule_of(cluster);
+    const Micros planned = cluster.now + from_seconds(80 - 50);
+    EXPECT_EQ(core::due_time(wide, cluster.objectives, cluster.now, &schedule), planned);
+    // Past the plan, and the deadline can still be met: normal work goes first all the same.
+    cluster.now += from_seconds(40);
+    cluster.ledger.put_job(ordinary_job("req-3", Priority::normal), 1);
+    schedule = schedule_of(cluster);
+    ASSERT_LT(*schedule.find("req-1")->due, cluster.now);
+    EXPECT_EQ(queue_of(cluster, &schedule), (std::vector<std::string>{"req-3", "req-1"}));
+}
+
+// ---- Preemption.
+
+struct FullMachine : testing::Test {
+    Cluster cluster;
+    void SetUp() override { cluster.teams["x"] = {"x", 0, 100, 0, 0}; }
+
+    void run(Priority priority) { run_alone(cluster, ordinary_job("req-1", priority, 1, 4), 1); }
+    void queue(Priority priority) { cluster.ledger.put_job(ordinary_job("req-2", priority, 1, 4), 3); }
+    core::PlacementResult place() const {
+        const auto schedule = schedule_of(cluster);
+        core::FreeCapacity capacity = cluster.room();
+        return core::place(placement_input(cluster, schedule), capacity);
+    }
+};
+
+TEST_F(FullMachine, AnInheritedPriorityStopsLowerWork) {
+    run(Priority::normal);
+    queue(Priority::best_effort);
+    EXPECT_TRUE(place().stops.empty());
+    cluster.ledger.put_job(waiting_job("req-3", Priority::high, {"req-2"}), 4);
+    ASSERT_EQ(place().stops.size(), 1U);
+    EXPECT_EQ(place().stops[0].job, "req-1");
+}
+
+TEST_F(FullMachine, EqualPrioritiesNeverPreempt) {
+    for (const Priority running : {Priority::best_effort, Priority::normal, Priority::high}) {
+        cluster.ledger.clear();
+        run(running);
+        queue(Priority::best_effort);
+        cluster.ledger.put_job(waiting_job("req-3", running, {"req-2"}), 4);
+        EXPECT_TRUE(place().stops.empty()) << "inherited against own";
+        queue(running);
+        EXPECT_TRUE(place().stops.empty()) << "own against own";
+    }
+    // Both inherit the same.
+    cluster.ledger.clear();
+    run(Priority::best_effort);
+    queue(Priority::best_effort);
+    cluster.ledger.put_job(waiting_job("req-3", Priority::high, {"req-1"}), 4);
+    cluster.ledger.put_job(waiting_job("req-4", Priority::high, {"req-2"}), 4);
+    EXPECT_TRUE(place().stops.empty()) << "inherited against inherited";
+}
+
+TEST_F(FullMachine, WorkThatAHighJobNeedsIsNotStoppedForNormalWork) {
+    run(Priority::best_effort);
+    queue(Priority::normal);
+    EXPECT_EQ(place().stops.size(), 1U);
+    cluster.ledger.put_job(waiting_job("req-3", Priority::high, {"req-1"}), 4);
+    EXPECT_TRUE(place().stops.empty());
+    // From the moment when nobody needs it any more it is what it was.
+    cluster.ledger.put_cancel("req-3", 5, cluster.now);
+    EXPECT_EQ(place().stops.size(), 1U);
+}
+
+TEST_F(FullMachine, APipelineWithTimeLeftStopsNobody) {
+    run(Priority::normal);
+    auto first = ordinary_job("req-2", Priority::best_effort, 1, 4);
+    first.accepted = cluster.now - from_seconds(30);
+    cluster.ledger.put_job(first, 3);
+    auto last = waiting_job("req-3", Priority::high, {"req-2"});
+    last.accepted = cluster.now;
+    constexpr double kBothStages = 2 * (30 * 1.5 + 5);
+    last.deadline_s = kBothStages;
+    cluster.ledger.put_job(last, 4);
+    EXPECT_EQ(place().stops.size(), 1U) << "it must start now";
+    last.deadline_s = kBothStages + 20;
+    cluster.ledger.put_job(last, 5);
+    EXPECT_TRUE(place().stops.empty()) << "20 s are left";
+    cluster.objectives = {{"wait", "c", 60, 0.9, 1}};
+    EXPECT_EQ(place().stops.size(), 1U) << "half of what its class may wait is over";
+}
+
+// No pair of jobs may ever stop each other in turn, whatever is inherited; and nothing is stopped by what is
+// not above it, but for guarantees.
+TEST(PipelinePreemption, GoesDownwardsOnAnyCluster) {
+    holds("stops", [] {
+        Cluster cluster = test::draw_cluster();
+        // Nothing is overdue: what must begin may find its place elsewhere later in the same pass.
+        core::Stamp stamp = 1000;
+        for (const auto& [id, entry] : core::Ledger::Jobs{cluster.ledger.jobs()}) {
+            Job job = entry.job;
+            job.accepted = cluster.now - from_seconds(60);
+            cluster.ledger.put_job(job, ++stamp);
+        }
+        for (int i = 0; i < 4 && !cluster.ledger.jobs().empty(); ++i) {
+            auto at = cluster.ledger.jobs().begin();
+            std::advance(at, *rc::gen::inRange<int>(0, static_cast<int>(cluster.ledger.jobs().size())));
+            const auto priority = static_cast<Priority>(*rc::gen::inRange(0, 4));
+            auto last = waiting_job("req-w" + std::to_string(i), priority, {at->first});
+            if (*rc::gen::arbitrary<bool>()) last.deadline_s = *rc::gen::inRange(1, 200);
+            cluster.ledger.put_job(last, ++stamp);
+        }
+        const auto schedule = schedule_of(cluster);
+        core::FreeCapacity capacity = cluster.room();
+        const auto result = core::place(placement_input(cluster, schedule), capacity);
+        // Guarantees count what the pass itself starts, and what it clears room for.
+        std::map<std::string, core::Amount> use;
+        for (const auto& [name, team] : cluster.teams) use[name] = cluster.ledger.team_use(name);
+        for (const auto& start : result.starts) {
+            const Job& job = cluster.ledger.find(start.job)->job;
+            RC_ASSERT(!job.waiting());
+            use[job.team] += job.need;
+        }
+        for (const auto& [task, reservation] : result.reservations)
+            use[cluster.ledger.find(task.job)->job.team] += reservation.need;
+        for (const auto& stop : result.stops) {
+            const Job& victim = cluster.ledger.find(stop.job)->job;
+            const bool beyond_guarantee = use[victim.team].cpus > cluster.teams.at(victim.team).cpus;
+            const auto goes_before = [&](const auto& reserved) {
+                const Job& job = cluster.ledger.find(reserved.first.job)->job;
+                if (reserved.second.machine != stop.attempt.machine) return false;
+                if (beyond_guarantee && job.team != victim.team) return true;
+                return core::effective_priority(job, &schedule) > core::effective_priority(victim, &schedule);
+            };
+            RC_ASSERT(std::any_of(result.reservations.begin(), result.reservations.end(), goes_before));
+        }
+        RC_TAG(result.stops.empty() ? "no stops" : "stops");
+    });
+}
+
+// ---- Waiting jobs count nowhere.
+
+TEST(WaitingJobs, CountNowhereInAPlacementPass) {
+    holds("the same pass with and without", [] {
+        Cluster with = test::draw_cluster();
+        Cluster without = with;
+        // They need what is over, so they ask for nothing either.
+        for (int i = 0; i < 3; ++i) {
+            auto job = waiting_job("req-w" + std::to_string(i), Priority::production, {"req-gone"});
+            job.tasks = 50;
+            job.accepted = Micros{0};
+            with.ledger.put_job(job, 1000);
+        }
+        core::FreeCapacity capacity_with = with.room();
+        core::FreeCapacity capacity_without = without.room();
+        const auto schedule = schedule_of(with);
+        const auto result = core::place(placement_input(with, schedule), capacity_with);
+        const PipelineSchedule none;
+        const auto expected = core::place(placement_input(without, none), capacity_without);
+        RC_ASSERT(result.starts.size() == expected.starts.size());
+        for (std::size_t i = 0; i < result.starts.size(); ++i) {
+            RC_ASSERT(result.starts[i].job == expected.starts[i].job);
+            RC_ASSERT(result.starts[i].attempt == expected.starts[i].attempt);
+        }
+        RC_ASSERT(result.stops.size() == expected.stops.size());
+        RC_ASSERT(result.reservations.size() == expected.reservations.size());
+        RC_ASSERT(core::plan_rentals({}, fleet_input(with, schedule), with.room()) ==
+                  core::plan_rentals({}, fleet_input(without, none), without.room()));
+    });
+}
+
+TEST(WaitingJobs, TakeNoPartOfAGuarantee) {
+    Cluster cluster;
+    cluster.teams["x"] = {"x", 4, 24, 0, 0};
+    cluster.teams["y"] = {"y", 0, 24, 0, 0};
+    Job other = ordinary_job("req-1", Priority::best_effort, 1, 4);
+    other.team = "y";
+    run_alone(cluster, other, 1);
+    auto waiting = waiting_job("req-2", Priority::best_effort, {"req-1"});  // older, and of the same team
+    waiting.tasks = 4;
+    cluster.ledger.put_job(waiting, 3);
+    Job queued = ordinary_job("req-3", Priority::best_effort, 1, 4);
+    queued.accepted = Micros{2'000'000};
+    cluster.ledger.put_job(queued, 4);
+    const PipelineSchedule none;
+    core::FreeCapacity capacity = cluster.room();
+    EXPECT_EQ(core::place(placement_input(cluster, none), capacity).stops.size(), 1U)
+        << "the queued job has the whole guarantee";
+}
+
+// ---- Renting.
+
+TEST(PipelineRenting, AnInheritedDueLeavesLessSlack) {
+    Cluster cluster;
+    cluster.teams["x"] = {"x", 1000, 1000, 0, 0};
+    cluster.picture.apply(test::report("n-1", "small", "a"), cluster.now, cluster.now);
+    auto first = ordinary_job("req-1", Priority::best_effort, 100, 1);
+    first.accepted = cluster.now;
+    cluster.ledger.put_job(first, 1);
+    const auto rented = [&] {
+        const auto schedule = schedule_of(cluster);
+        return machines(core::plan_rentals({}, fleet_input(cluster, schedule), cluster.room()));
+    };
+    const std::uint32_t alone = rented();
+    auto last = waiting_job("req-2", Priority::best_effort, {"req-1"});
+    last.accepted = cluster.now;
+    last.deadline_s = 100;
+    cluster.ledger.put_job(last, 2);
+    EXPECT_GT(rented(), alone);
+}
+
+TEST(PipelineRenting, RentsAheadOnlyWhenTold) {
+    Cluster cluster;
+    cluster.teams["x"] = {"x", 1000, 1000, 0, 0};
+    run_alone(cluster, ordinary_job("req-1", Priority::best_effort, 1, 4), 1);  // 15 s are left of it
+    auto wide = waiting_job("req-2", Priority::best_effort, {"req-1"});
+    wide.tasks = 100;
+    cluster.ledger.put_job(wide, 3);
+    const auto schedule = schedule_of(cluster);
+    const auto rented = [&](double ahead_s) {
+        core::FleetSettings settings;
+        settings.release_ahead_s = ahead_s;
+        return machines(core::plan_rentals(settings, fleet_input(cluster, schedule), cluster.room()));
+    };
+    EXPECT_EQ(rented(0), 0U);
+    EXPECT_EQ(rented(10), 0U) << "not released that soon";
+    EXPECT_GT(rented(20), 0U);
+}
+
+}  // namespace
+}  // namespace hatchwind
