--- a/src/core/pipeline_schedule.cpp
+++ b/src/core/pipeline_schedule.cpp
@@ -116,7 +116,10 @@
     for (const auto& node : graph.nodes()) {
         if (!node.can_run) continue;
         if (node.needed) schedule.demands_.emplace(node.entry->job.id, node.demand);
-        if (node.entry->job.waiting()) schedule.upcoming_.push_back({node.entry, node.soonest_start});
+        // Without a list its needs are not known here, and nobody can say when it will be released.
+        const Job& job = node.entry->job;
+        if (job.waiting() && !job.awaits.empty())
+            schedule.upcoming_.push_back({node.entry, node.soonest_start});
     }
     return schedule;
 }
--- a/src/core/pipeline_schedule.hpp
+++ b/src/core/pipeline_schedule.hpp
@@ -49,7 +49,7 @@
     // Null for a job that no other needs.
     const InheritedDemand* find(const std::string& job) const;
     const std::unordered_map<std::string, InheritedDemand>& demands() const { return demands_; }
-    // All waiting jobs that can still be released.
+    // The waiting jobs that can still be released and whose needs are known.
     const std::vector<UpcomingRelease>& upcoming() const { return upcoming_; }
 
   private:
--- a/tests/pipeline_schedule_test.cpp
+++ b/tests/pipeline_schedule_test.cpp
@@ -587,7 +587,10 @@
     auto wide = waiting_job("req-2", Priority::best_effort, {"req-1"});
     wide.tasks = 100;
     cluster.ledger.put_job(wide, 3);
+    // The needs of this one are not known yet.
+    cluster.ledger.put_job(waiting_job("req-3", Priority::best_effort, {}), 3);
     const auto schedule = schedule_of(cluster);
+    ASSERT_EQ(schedule.upcoming().size(), 1U);
     const auto rented = [&](double ahead_s) {
         core::FleetSettings settings;
         settings.release_ahead_s = ahead_s;
