--- a/src/service/renting.cpp
+++ b/src/service/renting.cpp
@@ -50,7 +50,10 @@
 
 Task<void> Renting::round() {
     const Micros now = steady_now();
-    const core::FleetInput input = fleet_input(now);
+    core::FleetInput input = fleet_input(now);
+    const auto pipelines =
+        core::PipelineSchedule::build(node_.ledger, node_.settings.objectives, input.wall);
+    input.pipelines = &pipelines;
     const auto wanted =
         core::plan_rentals(fleet_settings(), input,
                            core::FreeCapacity::build(node_.picture, node_.ledger, *node_.catalog,
