Jobs that wait for others: stored, released, cancelled and answered for

A submission may name jobs that have to be done first. The job is stored with a team that no settings name, with the unfinished ones of those jobs; the owner of its team releases it by one conditional write after their final states have been read from the store. A job that needs a cancelled one is told as cancelled from the moment on at which that cancel is confirmed, computed from the graph, and ends by writes that any later owner carries on.

--- /dev/null
+++ b/src/core/dependency_graph.hpp
@@ -0,0 +1,39 @@
+// The graph of waiting jobs: which of them can be released, and which have to be cancelled because a job that
+// they need is cancelled. Pure; time and memory follow the number of needs, and nothing is recursive, so
+// chains and fans may be of any length.
+#pragma once
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/ledger.hpp"
+
+namespace hatchwind::core {
+
+// How a job ended for good.
+enum class Ending : std::uint8_t { done, cancelled };
+// The ending of a job that is not in the ledger; nothing when it is not known here. That a job is missing
+// from the ledger never means that it is done.
+using EndingOf = std::function<std::optional<Ending>(const std::string& job)>;
+
+struct DependencyPlan {
+    std::vector<std::string> release;          // all that they need is done
+    std::vector<std::string> cancel;           // cancelled, or in need of a cancelled job, directly or not
+    std::vector<std::string> unknown_endings;  // that may decide about others; without repeats
+};
+
+// What is due for the waiting jobs that `mine` selects.
+DependencyPlan plan_dependencies(const Ledger& ledger, const EndingOf& ending,
+                                 const std::function<bool(const Job&)>& mine);
+
+// What the jobs that one waiting job needs, directly or through others, say about it.
+struct Ancestry {
+    bool cancelled = false;                    // one of them is: so is this job, whatever else is not known
+    bool complete = true;                      // false: the needs of one of them are not known here
+    std::vector<std::string> unknown_endings;  // without repeats
+};
+Ancestry look_back(const Ledger& ledger, const std::string& job, const EndingOf& ending);
+
+}  // namespace hatchwind::core
--- a/src/core/epoch.hpp
+++ b/src/core/epoch.hpp
@@ -37,8 +37,14 @@
     }
 };
 
+// What a version of the program understands, as bits. A node tells them in its key and in heartbeats, so that
+// nothing is stored that another node would misread.
+constexpr std::uint64_t kKnowsWaitingJobs = 1;
+constexpr std::uint64_t kCapabilities = kKnowsWaitingJobs;
+
 struct NodeRecord {
     std::uint64_t grant = 0;
+    std::uint64_t capabilities = 0;
     Stamp stamp = 0;
 };
 
--- a/src/core/ledger.cpp
+++ b/src/core/ledger.cpp
@@ -46,8 +46,21 @@
     auto [it, fresh] = jobs_.try_emplace(job.id);
     JobEntry& e = it->second;
     if (!fresh && e.stamp >= stamp) return;
+    if (!fresh && e.job.team != job.team && e.open > 0) {
+        // A page of a released job may have been read before the record of its release: what it holds counts
+        // for the team that the job has now (Ledger.AReleaseThatIsReadLateMovesTheUseToTheTeam).
+        const Amount use = e.job.need * static_cast<double>(e.open);
+        use_[e.job.team] -= use;
+        use_[job.team] += use;
+    }
     e.job = std::move(job);
     e.stamp = stamp;
+    join_await_parts(e.job);
+    if (e.job.waiting()) {
+        waiting_.insert(e.job.id);
+    } else {
+        waiting_.erase(e.job.id);
+    }
     // The store is read in pieces: a page may be newer than the job's record, and come before it. Without
     // what it says the job would look as if nothing of it had started.
     for (auto o = orphans_.lower_bound({e.job.id, 0});
@@ -114,6 +127,7 @@
         account(it->second, c, {});
         if (c.stamp != 0) orphans_[{job, index}] = std::move(c);
     }
+    waiting_.erase(job);
     jobs_.erase(it);
 }
 
@@ -130,8 +144,35 @@
     it->second.chunks.erase(c);
 }
 
+void Ledger::put_await_part(const std::string& job, const std::string& list, std::uint32_t part,
+                            std::vector<std::string> ids) {
+    await_parts_[job][{list, part}] = std::move(ids);
+    if (const auto it = jobs_.find(job); it != jobs_.end()) join_await_parts(it->second.job);
+}
+
+void Ledger::erase_await_part(const std::string& job, const std::string& list, std::uint32_t part) {
+    const auto parts = await_parts_.find(job);
+    if (parts == await_parts_.end()) return;
+    parts->second.erase({list, part});
+    if (parts->second.empty()) await_parts_.erase(parts);
+}
+
+void Ledger::join_await_parts(Job& job) const {
+    const auto parts = await_parts_.find(job.id);
+    if (!job.waiting() || job.await_parts == 0 || job.needs_known() || parts == await_parts_.end()) return;
+    std::vector<std::string> ids;
+    for (std::uint32_t part = 0; part < job.await_parts; ++part) {
+        const auto known = parts->second.find({job.await_list, part});
+        if (known == parts->second.end()) return;
+        ids.insert(ids.end(), known->second.begin(), known->second.end());
+    }
+    job.awaits = std::move(ids);
+}
+
 void Ledger::clear() {
     jobs_.clear();
+    waiting_.clear();
+    await_parts_.clear();
     use_.clear();
     by_machine_.clear();
     orphans_.clear();
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -88,10 +88,19 @@
     void erase_page(const AttemptPageKey& key, Stamp at);
     const std::map<AttemptPageKey, AttemptPage>& pages() const { return pages_; }
     void erase_job(const std::string& job, Stamp at);
+    // Parts of lists that are too long for a waiting job's record; the content of a part never changes.
+    using AwaitParts =
+        std::map<std::pair<std::string, std::uint32_t>, std::vector<std::string>>;  // list, part
+    void put_await_part(const std::string& job, const std::string& list, std::uint32_t part,
+                        std::vector<std::string> ids);
+    void erase_await_part(const std::string& job, const std::string& list, std::uint32_t part);
+    const std::map<std::string, AwaitParts>& await_parts() const { return await_parts_; }
     void erase_chunk(const std::string& job, std::uint32_t index, Stamp at);
     void clear();
 
     const Jobs& jobs() const { return jobs_; }
+    // The jobs that wait for others.
+    const std::set<std::string>& waiting() const { return waiting_; }
     const JobEntry* find(const std::string& job) const;
     const Attempt* open_attempt(const std::string& job, std::uint32_t task) const;
     // What the team's recorded attempts use that are not known to be gone.
@@ -106,7 +115,11 @@
     // written again for each of its tasks that starts or ends.
     void account(const JobEntry& e, const Chunk& before, const Chunk& after);
     void drop(const TaskRef& ref, const std::string& machine);
+    // Fills in the needs of a waiting job once all parts of its list are known.
+    void join_await_parts(Job& job) const;
     Jobs jobs_;
+    std::set<std::string> waiting_;
+    std::map<std::string, AwaitParts> await_parts_;
     std::unordered_map<std::string, Amount> use_;
     std::map<std::string, MachineTasks> by_machine_;  // in the picture's order: passes walk both in step
     std::uint64_t changes_ = 0;
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -77,11 +77,18 @@
     // belong to. Empty for all others; the release rewrites the record.
     std::vector<std::string> awaits;
     std::string team_once_released;
+    // Of a list that is too long for the job's own record: how many records beside it hold the list, and the
+    // name that they have in common. `awaits` is empty until all of them are known.
+    std::string await_list;
+    std::uint32_t await_parts = 0;
 
     bool cancelled = false;
     Micros cancelled_at{};  // time of day
 
     bool waiting() const { return team == kWaitingTeam; }
+    // A waiting job always needs something: with an empty list its needs are not known here, and it must not
+    // be released.
+    bool needs_known() const { return !awaits.empty(); }
     std::uint32_t zone_cap() const { return spread ? (tasks + 1) / 2 : tasks; }
     bool allows_type(const std::string& type) const {
         if (!types) return true;
--- /dev/null
+++ b/src/service/dependencies.cpp
@@ -0,0 +1,199 @@
+#include "service/dependencies.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace hatchwind::service {
+
+using io::Micros;
+using io::steady_now;
+using io::Task;
+
+namespace {
+constexpr Micros kInterval{300'000};
+constexpr Micros kGap{30'000};
+constexpr Micros kAfterFailure{200'000};
+constexpr Micros kRemoveListsEvery{5'000'000};
+constexpr Micros kReadDeadline{2'000'000};
+constexpr Micros kCommitDeadline{3'000'000};
+constexpr std::size_t kEndingsOfOnePass = 1000;
+constexpr std::size_t kTransactionBytes = 48 * 1024;  // of the JSON form
+constexpr std::size_t kStepOverhead = 200;
+// Users are told of a cancellation whether or not it has been written, so these writes give way to others.
+constexpr std::size_t kCancelGroupsOfOnePass = 1;
+}  // namespace
+
+bool Dependencies::acts_for(const core::Job& job) const {
+    const auto owner = node_.epoch.owners.find(job.team_once_released);
+    return owner == node_.epoch.owners.end() ? node_.leads() : owner->second == node_.self.label;
+}
+
+Dependencies::Step Dependencies::release(const core::JobEntry& entry) const {
+    core::Job job = entry.job;
+    job.team = std::move(job.team_once_released);
+    job.team_once_released.clear();
+    job.awaits.clear();
+    job.await_list.clear();
+    job.await_parts = 0;
+    // All times but the deadline count from the release; the deadline stays where it is.
+    const Micros now = io::wall_now();
+    if (job.deadline_s) *job.deadline_s -= std::chrono::duration<double>(now - job.accepted).count();
+    job.accepted = now;
+    wire::Json record = wire::job_record(job);
+    const std::size_t bytes = record.dump().size() + kStepOverhead;
+    return {job.id, entry.stamp, {{keys::job(job.id), std::move(record), 0}}, std::nullopt, bytes};
+}
+
+Dependencies::Step Dependencies::cancel(const core::JobEntry& entry) {
+    return {entry.job.id,
+            entry.stamp,
+            {{keys::job(entry.job.id), std::nullopt, 0}},
+            FinalState{wire::JobStatus::cancelled, 0},
+            kStepOverhead};
+}
+
+Task<bool> Dependencies::commit(std::vector<Step> steps, std::size_t groups) {
+    std::size_t next = 0;
+    for (std::size_t group = 0; group < groups && next < steps.size(); ++group) {
+        wire::Transaction t;
+        t.conditions.emplace_back(keys::kEpoch, node_.epoch.stamp);
+        const std::size_t first = next;
+        std::size_t bytes = 0;
+        for (; next < steps.size(); ++next) {
+            const Step& step = steps[next];
+            const std::size_t writes = step.effects.size() + (step.final_state ? 1 : 0);
+            bytes += step.bytes;
+            if (next != first &&
+                (t.writes.size() + writes > node_.settings.txn_ops || bytes > kTransactionBytes))
+                break;
+            t.conditions.emplace_back(keys::job(step.job), step.stamp);
+            for (const auto& effect : step.effects) t.writes.push_back({effect.key, effect.value, 0});
+            if (step.final_state) {
+                wire::Json record = wire::final_record(step.final_state->status, step.final_state->done);
+                t.writes.push_back({keys::final(step.job), std::move(record), 0});
+            }
+        }
+        const auto conditions = t.conditions;
+        auto task = node_.state.commit(std::move(t), steady_now() + kCommitDeadline);
+        const CommitResult r = co_await std::move(task);
+        if (r.outcome == Commit::conflict) {
+            // Written by somebody else, by an earlier copy of this transaction, or cancelled meanwhile.
+            auto reach = replica_.reach_conflict(conditions, r, steady_now() + kReadDeadline);
+            co_await std::move(reach);
+        }
+        // Without an answer it may be carried out at any time: it then does what the next pass would do, and
+        // the conditions leave only one of them.
+        if (r.outcome != Commit::done) co_return false;
+        for (std::size_t i = first; i < next; ++i) {
+            for (auto& effect : steps[i].effects) {
+                effect.stamp = r.revision;
+                replica_.committed(effect);
+            }
+            if (steps[i].final_state) finals_.note(steps[i].job, *steps[i].final_state);
+        }
+        node_.work.notify_all();
+        node_.fleet_work.notify_all();
+    }
+    co_return true;
+}
+
+Task<bool> Dependencies::read_endings(std::vector<std::string> jobs) {
+    if (jobs.size() > kEndingsOfOnePass) jobs.resize(kEndingsOfOnePass);
+    core::Stamp revision = 0;
+    auto reading = finals_.read_all(std::move(jobs), revision, steady_now() + kReadDeadline);
+    const bool read = co_await std::move(reading);
+    co_return read;
+}
+
+Task<bool> Dependencies::reconcile() {
+    const Micros began = steady_now();
+    const auto plan = core::plan_dependencies(
+        node_.ledger, [this](const std::string& job) { return finals_.ending(job); },
+        [this](const core::Job& job) { return acts_for(job); });
+    planning_took_ = steady_now() - began;
+    std::vector<Step> releases;
+    for (const auto& id : plan.release) releases.push_back(release(*node_.ledger.find(id)));
+    std::vector<Step> cancels;
+    for (const auto& id : plan.cancel) cancels.push_back(cancel(*node_.ledger.find(id)));
+    if (!releases.empty() || !cancels.empty())
+        spdlog::debug("event=dependencies releases={} cancels={} unknown={}", releases.size(), cancels.size(),
+                      plan.unknown_endings.size());
+    bool ok = true;
+    bool news = false;
+    if (!releases.empty()) {
+        auto task = commit(std::move(releases), releases.size());
+        ok = co_await std::move(task);
+    }
+    if (ok && !plan.unknown_endings.empty()) {
+        auto reading = read_endings(plan.unknown_endings);
+        ok = co_await std::move(reading);
+        for (const auto& id : plan.unknown_endings) news = news || finals_.known(id) != nullptr;
+    }
+    if (ok && !cancels.empty()) {
+        auto task = commit(std::move(cancels), kCancelGroupsOfOnePass);
+        ok = co_await std::move(task);
+    }
+    if (!ok) co_await node_.loop.sleep(kAfterFailure);
+    co_return news;
+}
+
+std::vector<std::string> Dependencies::jobs_with_old_lists() const {
+    std::vector<std::string> jobs;
+    for (const auto& [job, parts] : node_.ledger.await_parts()) {
+        const core::JobEntry* entry = node_.ledger.find(job);
+        if (entry == nullptr || !entry->job.waiting()) jobs.push_back(job);
+    }
+    return jobs;
+}
+
+Task<void> Dependencies::remove_lists() {
+    std::vector<std::string> unknown = jobs_with_old_lists();
+    if (unknown.empty()) co_return;
+    // The list of a submission that is being taken is written before the job: without a record of the job
+    // only its final state tells that the list has served.
+    std::erase_if(unknown, [&](const std::string& id) { return node_.ledger.find(id) != nullptr; });
+    auto reading = read_endings(unknown);
+    const bool read = co_await std::move(reading);
+    if (!read) co_return;
+    wire::Transaction t;
+    std::vector<wire::StoreItem> effects;
+    t.conditions.emplace_back(keys::kEpoch, node_.epoch.stamp);
+    for (const auto& job : jobs_with_old_lists()) {
+        if (node_.ledger.find(job) == nullptr && finals_.known(job) == nullptr) continue;
+        for (const auto& [part, ids] : node_.ledger.await_parts().at(job)) {
+            if (t.writes.size() >= node_.settings.txn_ops) break;
+            const std::string key = keys::await_part(job, part.first, part.second);
+            t.writes.push_back({key, std::nullopt, 0});
+            effects.push_back({key, std::nullopt, 0});
+        }
+    }
+    if (effects.empty()) co_return;
+    auto task = node_.state.commit(std::move(t), steady_now() + kCommitDeadline);
+    const CommitResult r = co_await std::move(task);
+    if (r.outcome != Commit::done) co_return;
+    for (auto& effect : effects) {
+        effect.stamp = r.revision;
+        replica_.committed(effect);
+    }
+}
+
+Task<void> Dependencies::run() {
+    bool again = false;
+    while (true) {
+        if (!std::exchange(again, false)) co_await node_.advanced.wait(steady_now() + kInterval);
+        // A pass that takes long on this machine leaves most of the time to others.
+        co_await node_.loop.sleep(std::max(kGap, 9 * planning_took_));
+        if (!node_.acting() || !node_.state.reachable(steady_now())) continue;
+        if (!node_.ledger.waiting().empty()) {
+            auto pass = reconcile();
+            again = co_await std::move(pass);
+        }
+        if (!node_.leads() || steady_now() - last_removal_ < kRemoveListsEvery) continue;
+        last_removal_ = steady_now();
+        auto removal = remove_lists();
+        co_await std::move(removal);
+    }
+}
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/dependencies.hpp
@@ -0,0 +1,47 @@
+// The duty that ends the waiting of jobs: releases those whose needs are done, and ends those that need a
+// cancelled job. A reconcile loop: each pass compares what the replica and the final states say with what is
+// written, so whoever owns a team next carries on, and every step may be repeated.
+#pragma once
+
+#include "service/final_states.hpp"
+#include "service/node.hpp"
+#include "service/replica.hpp"
+
+namespace hatchwind::service {
+
+class Dependencies {
+  public:
+    Dependencies(Node& node, Replica& replica, FinalStates& finals)
+        : node_(node), replica_(replica), finals_(finals) {}
+    io::Task<void> run();
+
+  private:
+    // What is written together or not at all.
+    struct Step {
+        std::string job;
+        core::Stamp stamp = 0;                  // of the job's record, which must be unchanged
+        std::vector<wire::StoreItem> effects;   // written, and then part of the copy
+        std::optional<FinalState> final_state;  // written
+        std::size_t bytes = 0;
+    };
+    // This node acts for the team that the job will belong to; the leader for what has no such team.
+    bool acts_for(const core::Job& job) const;
+    // True when it has learned something that another pass may act on.
+    io::Task<bool> reconcile();
+    io::Task<bool> read_endings(std::vector<std::string> jobs);
+    Step release(const core::JobEntry& entry) const;
+    static Step cancel(const core::JobEntry& entry);
+    // Group commits, at most `groups` of them. False when one was not carried out.
+    io::Task<bool> commit(std::vector<Step> steps, std::size_t groups);
+    // Lists of jobs that do not wait any more. Leader only.
+    io::Task<void> remove_lists();
+    std::vector<std::string> jobs_with_old_lists() const;
+
+    Node& node_;
+    Replica& replica_;
+    FinalStates& finals_;
+    io::Micros planning_took_{0};  // in the last pass
+    io::Micros last_removal_{0};
+};
+
+}  // namespace hatchwind::service
--- a/src/service/membership.cpp
+++ b/src/service/membership.cpp
@@ -32,7 +32,8 @@
             }
             wire::Transaction t;
             t.conditions.emplace_back(keys::node(node_.self.label), key.stamp);
-            t.writes.push_back({keys::node(node_.self.label), wire::Json{{"grant", *grant}}, *grant});
+            wire::Json record{{"grant", *grant}, {"capabilities", core::kCapabilities}};
+            t.writes.push_back({keys::node(node_.self.label), std::move(record), *grant});
             auto put = node_.state.commit(std::move(t), steady_now() + Micros{1'500'000});
             const CommitResult r = co_await std::move(put);
             if (r.outcome != Commit::done) {
--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -225,6 +225,7 @@
         b.fit = node_.fit;
         b.acting = node_.acting();
         b.revision = node_.revision;
+        b.capabilities = core::kCapabilities;
         b.wall_us = io::wall_now().count();
         for (const auto& [label, link] : links_) {
             if (node_.peer_fresh(label, steady_now())) b.hears.push_back(label);
--- a/src/service/replica.cpp
+++ b/src/service/replica.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view kJob = "h/job/";
 constexpr std::string_view kRun = "h/run/";
 constexpr std::string_view kNode = "h/node/";
+constexpr std::string_view kAwaits = "h/awaits/";
 constexpr Micros kReadAnew{10'000'000};  // the whole store, at most so often for a copy that is wrong
 
 std::optional<core::AttemptPageKey> page_key(std::string_view key) {
@@ -26,6 +27,20 @@
     if (number == 0) return std::nullopt;
     return core::AttemptPageKey{std::string(key.substr(kRun.size(), team_end - kRun.size())), number};
 }
+
+struct AwaitPartKey {
+    std::string job;
+    std::string list;
+    std::uint32_t number = 0;
+};
+std::optional<AwaitPartKey> await_part_key(std::string_view key) {
+    const auto number = wire::parse_task_name(key.substr(kAwaits.size()));
+    if (!number) return std::nullopt;
+    const auto list_start = number->first.rfind('/');
+    if (list_start == std::string::npos) return std::nullopt;
+    return AwaitPartKey{number->first.substr(0, list_start), number->first.substr(list_start + 1),
+                        number->second};
+}
 }  // namespace
 
 void Replica::apply(const wire::StoreItem& item) {
@@ -47,6 +62,7 @@
         if (record.stamp < item.stamp) {
             record.stamp = item.value ? item.stamp : 0;
             record.grant = item.value ? wire::whole(*item.value, "grant").value_or(0) : 0;
+            record.capabilities = item.value ? wire::whole(*item.value, "capabilities").value_or(0) : 0;
         }
         if (node_.nodes[label].stamp == 0) node_.nodes.erase(label);
     } else if (key.starts_with(kJob)) {
@@ -68,6 +84,16 @@
         } else if (ok) {
             node_.ledger.erase_page(*page, item.stamp);
         }
+    } else if (key.starts_with(kAwaits)) {
+        const auto part = await_part_key(key);
+        ok = part.has_value();
+        if (ok && item.value) {
+            auto ids = wire::parse_job_ids_record(*item.value);
+            ok = ids.has_value();
+            if (ok) node_.ledger.put_await_part(part->job, part->list, part->number, std::move(*ids));
+        } else if (ok) {
+            node_.ledger.erase_await_part(part->job, part->list, part->number);
+        }
     } else if (key == keys::kDraining && item.value && item.stamp > node_.draining_stamp) {
         auto names = wire::parse_names_record(*item.value);
         ok = names.has_value();
--- a/src/service/replica.hpp
+++ b/src/service/replica.hpp
@@ -13,6 +13,9 @@
 inline std::string page(const core::AttemptPageKey& p) {
     return "h/run/" + p.first + "/" + std::to_string(p.second);
 }
+inline std::string await_part(const std::string& job, const std::string& list, std::uint32_t part) {
+    return "h/awaits/" + job + "/" + list + "/" + std::to_string(part);
+}
 constexpr const char* kDraining = "h/draining";
 inline std::string final(const std::string& id) { return "f/" + id; }
 }  // namespace keys
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -29,7 +29,9 @@
       membership_(node_, replica_),
       mesh_(node_, membership_),
       workers_(node_, scope_),
-      users_(node_, replica_),
+      finals_(node_),
+      users_(node_, replica_, finals_),
+      dependencies_(node_, replica_, finals_),
       owner_(node_, replica_, workers_),
       leader_(node_, replica_),
       cancel_enforcement_(node_, workers_, leader_),
@@ -51,6 +53,7 @@
     scope_.spawn(leader_.drain());
     scope_.spawn(leader_.give_back());
     scope_.spawn(cancel_enforcement_.run());
+    scope_.spawn(dependencies_.run());
 }
 
 Task<HttpResponse> Service::handle(HttpRequest request) {
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -3,6 +3,8 @@
 
 #include "io/http.hpp"
 #include "service/cancel_enforcement.hpp"
+#include "service/dependencies.hpp"
+#include "service/final_states.hpp"
 #include "service/leader.hpp"
 #include "service/membership.hpp"
 #include "service/mesh.hpp"
@@ -28,7 +30,9 @@
     Membership membership_;
     Mesh mesh_;
     Workers workers_;
+    FinalStates finals_;
     UsersApi users_;
+    Dependencies dependencies_;
     Owner owner_;
     Leader leader_;
     CancelEnforcement cancel_enforcement_;
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -15,7 +15,6 @@
 
 constexpr std::size_t kSubmitting = 64;
 constexpr std::size_t kPolling = 256;
-constexpr std::size_t kFinalsKept = 1000;
 constexpr std::size_t kJsonLimit = 64 * 1024;
 
 HttpResponse plain(int status) {
@@ -90,58 +89,49 @@
     return with_body(200, wire::job_answer(id, wire::JobStatus::cancelled));
 }
 
-Task<UsersApi::Lookup> UsersApi::find_final(std::string id, Final& into, core::Stamp& revision,
-                                            Micros deadline) {
-    if (const auto it = finals_.find(id); it != finals_.end()) {
-        into = it->second;
-        co_return Lookup::found;
-    }
-    auto task = node_.state.get(keys::final(id), deadline);
-    const GetResult r = co_await std::move(task);
-    if (!r.ok) co_return Lookup::failed;
-    revision = r.revision;
-    if (!r.value) co_return Lookup::absent;
-    const auto f = wire::parse_final_record(*r.value);
-    if (!f) co_return Lookup::failed;
-    into = {f->first, f->second};
-    if (finals_.emplace(id, into).second) {
-        final_order_.push_back(id);
-        if (final_order_.size() > kFinalsKept) {
-            finals_.erase(final_order_.front());
-            final_order_.pop_front();
+Task<Lookup> UsersApi::describe_unfinished(std::string id, HttpResponse& answer, Micros deadline) {
+    const core::JobEntry* entry = node_.ledger.find(id);
+    if (entry != nullptr && entry->job.waiting() && !entry->job.cancelled) {
+        auto task = waiting_jobs_.cancelled_by_need(id, deadline);
+        const auto verdict = co_await std::move(task);
+        if (verdict == WaitingJobs::Verdict::undecided) co_return Lookup::failed;
+        if (verdict == WaitingJobs::Verdict::cancelled) {
+            answer = with_body(200, wire::job_answer(id, wire::JobStatus::cancelled, 0, 0));
+            co_return Lookup::found;
         }
+        entry = node_.ledger.find(id);
     }
+    if (entry == nullptr) co_return Lookup::absent;
+    answer = describe(*entry, 200);
     co_return Lookup::found;
 }
 
-Task<UsersApi::Lookup> UsersApi::current_state(std::string id, HttpResponse& answer, Micros deadline) {
+Task<Lookup> UsersApi::current_state(std::string id, HttpResponse& answer, Micros deadline) {
     if (node_.ledger.find(id) != nullptr) {
         auto index = replica_.caught_up(deadline);
         const bool current = co_await std::move(index);
         if (!current) co_return Lookup::failed;
-        if (const auto* entry = node_.ledger.find(id)) {
-            answer = describe(*entry, 200);
-            co_return Lookup::found;
-        }
+        auto describing = describe_unfinished(id, answer, deadline);
+        const Lookup described = co_await std::move(describing);
+        if (described != Lookup::absent) co_return described;
     }
     // Final states never change, so one read serves what has ended. With a read index before it, a slow state
     // service took longer than users wait, and only they were never answered
     // (UserAnswers.AnEndedJobIsAnsweredWhileTheStateServiceIsSlow).
-    Final final_state{};
+    FinalState final_state{};
     core::Stamp revision = 0;
-    auto first = find_final(id, final_state, revision, deadline);
+    auto first = finals_.find(id, final_state, revision, deadline);
     Lookup found = co_await std::move(first);
     if (found == Lookup::absent) {
         // That answer is a read index itself: what was accepted before it and had not ended is in the copy.
         auto reach = replica_.reach(revision, deadline);
         const bool current = co_await std::move(reach);
         if (!current) co_return Lookup::failed;
-        if (const auto* entry = node_.ledger.find(id)) {
-            answer = describe(*entry, 200);
-            co_return Lookup::found;
-        }
+        auto describing = describe_unfinished(id, answer, deadline);
+        const Lookup described = co_await std::move(describing);
+        if (described != Lookup::absent) co_return described;
         // The copy may be past that revision by now, and the job may have come and ended in between.
-        auto second = find_final(id, final_state, revision, deadline);
+        auto second = finals_.find(id, final_state, revision, deadline);
         found = co_await std::move(second);
     }
     if (found == Lookup::found)
@@ -150,7 +140,7 @@
 }
 
 Task<HttpResponse> UsersApi::refuse_unless_accepted(std::string id, HttpResponse refusal) {
-    if (!finals_.contains(id) && (!node_.synced || !node_.state.reachable(steady_now())))
+    if (finals_.known(id) == nullptr && (!node_.synced || !node_.state.reachable(steady_now())))
         co_return retry_later();
     HttpResponse answer;
     auto lookup = current_state(id, answer, steady_now() + Micros{2'500'000});
@@ -184,7 +174,7 @@
     const std::string id = job.id;
     // What was accepted once is neither refused nor accepted anew, whatever the settings and the catalog say
     // of it by now.
-    const bool known = finals_.contains(id) || node_.ledger.find(id) != nullptr;
+    const bool known = finals_.known(id) != nullptr || node_.ledger.find(id) != nullptr;
     const std::optional<std::string> why = known || !node_.catalog ? std::nullopt : impossible(job);
     if (known || !node_.catalog || why) {
         HttpResponse refusal = why ? with_body(422, {{"error", *why}}) : retry_later();
@@ -202,12 +192,33 @@
     }
     if (!node_.state.reachable(steady_now())) co_return retry_later();
     const Micros deadline = steady_now() + Micros{2'500'000};
+    bool cancelled_by_need = false;
+    if (!job.awaits.empty()) {
+        auto settling = waiting_jobs_.settle_needs(job, deadline);
+        const auto needs = co_await std::move(settling);
+        if (needs == WaitingJobs::Needs::undecided) co_return retry_later();
+        if (needs == WaitingJobs::Needs::never_accepted) {
+            HttpResponse refusal = with_body(422, {{"error", "awaits a job that was never accepted"}});
+            auto answer = refuse_unless_accepted(id, std::move(refusal));
+            HttpResponse response = co_await std::move(answer);
+            co_return response;
+        }
+        cancelled_by_need = needs == WaitingJobs::Needs::cancelled;
+    }
     job.accepted = io::wall_now();
     wire::Transaction t;
     t.conditions = {{keys::job(id), 0}, {keys::final(id), 0}};
-    t.writes.push_back({keys::job(id), wire::job_record(job), 0});
+    if (cancelled_by_need) {
+        t.writes.push_back({keys::final(id), wire::final_record(wire::JobStatus::cancelled, 0), 0});
+    } else {
+        t.writes.push_back({keys::job(id), wire::job_record(job), 0});
+    }
     auto task = node_.state.commit(std::move(t), deadline, true);
     const CommitResult r = co_await std::move(task);
+    if (r.outcome == Commit::done && cancelled_by_need) {
+        finals_.note(id, {wire::JobStatus::cancelled, 0});
+        co_return with_body(201, wire::job_answer(id, wire::JobStatus::cancelled));
+    }
     if (r.outcome == Commit::done) {
         replica_.committed({keys::job(id), wire::job_record(job), r.revision});
         node_.work.notify_all();
@@ -219,10 +230,14 @@
     auto reach = replica_.reach(r.revision, deadline);
     const bool reached = co_await std::move(reach);
     if (!reached) co_return retry_later();
-    if (const auto* entry = node_.ledger.find(id)) co_return describe(*entry, 200);
-    Final f{};
+    HttpResponse answer;
+    auto describing = describe_unfinished(id, answer, deadline);
+    const Lookup described = co_await std::move(describing);
+    if (described == Lookup::found) co_return answer;
+    if (described == Lookup::failed) co_return retry_later();
+    FinalState f{};
     core::Stamp revision = 0;
-    auto lookup = find_final(id, f, revision, deadline);
+    auto lookup = finals_.find(id, f, revision, deadline);
     const Lookup found = co_await std::move(lookup);
     if (found != Lookup::found) co_return retry_later();
     co_return with_body(200, wire::job_answer(id, f.status, f.done, 0));
@@ -230,8 +245,8 @@
 
 Task<HttpResponse> UsersApi::poll(std::string id) {
     if (!wire::is_job_id(id)) co_return plain(404);
-    if (const auto it = finals_.find(id); it != finals_.end()) {
-        co_return with_body(200, wire::job_answer(id, it->second.status, it->second.done, 0));
+    if (const FinalState* state = finals_.known(id)) {
+        co_return with_body(200, wire::job_answer(id, state->status, state->done, 0));
     }
     if (polling_ >= kPolling) co_return retry_later(429);
     const Counted counted{polling_};
@@ -258,9 +273,9 @@
             e = node_.ledger.find(id);
         }
         if (e == nullptr) {
-            Final f{};
+            FinalState f{};
             core::Stamp revision = 0;
-            auto lookup = find_final(id, f, revision, deadline);
+            auto lookup = finals_.find(id, f, revision, deadline);
             const Lookup found = co_await std::move(lookup);
             if (found == Lookup::failed) co_return retry_later();
             if (found == Lookup::absent) co_return plain(404);
@@ -270,6 +285,9 @@
         core::Job job = e->job;
         job.cancelled = true;
         job.cancelled_at = io::wall_now();
+        // What a waiting job needed does not matter any more.
+        job.awaits.clear();
+        job.await_parts = 0;
         wire::Transaction t;
         const core::Stamp stamp = e->stamp;
         t.conditions = {{keys::job(id), stamp}};
--- a/src/service/users_api.hpp
+++ b/src/service/users_api.hpp
@@ -1,34 +1,31 @@
 // The users' interface: submit, poll, cancel, health.
 #pragma once
 
-#include <list>
 #include <optional>
-#include <unordered_map>
 
+#include "service/final_states.hpp"
 #include "service/node.hpp"
 #include "service/replica.hpp"
+#include "service/waiting_jobs.hpp"
 
 namespace hatchwind::service {
 
 class UsersApi {
   public:
-    UsersApi(Node& n, Replica& r) : node_(n), replica_(r) {}
+    UsersApi(Node& n, Replica& r, FinalStates& finals)
+        : node_(n), replica_(r), finals_(finals), waiting_jobs_(n, r, finals) {}
     io::Task<io::HttpResponse> submit(io::HttpRequest request);
     io::Task<io::HttpResponse> poll(std::string id);
     io::Task<io::HttpResponse> cancel(std::string id);
     io::HttpResponse health() const;
 
   private:
-    struct Final {
-        wire::JobStatus status;
-        std::uint32_t done;
-    };
-    enum class Lookup : std::uint8_t { found, absent, failed };
     // The answer that a job is cancelled. The other nodes are told first: one of them may keep the job's
     // tasks alive without sight of the state service.
     io::HttpResponse confirm_cancel(const std::string& id);
-    // `revision`, after `absent`: of the store when it held no final state of the job.
-    io::Task<Lookup> find_final(std::string id, Final& into, core::Stamp& revision, io::Micros deadline);
+    // The state of an unfinished job from the replica, which must be as new as the question; `absent` when
+    // the replica has no such job.
+    io::Task<Lookup> describe_unfinished(std::string id, io::HttpResponse& answer, io::Micros deadline);
     // The state of a job at a moment after the call, and certainty when it was never accepted.
     io::Task<Lookup> current_state(std::string id, io::HttpResponse& answer, io::Micros deadline);
     // `refusal`, unless the job was accepted before: then its state.
@@ -40,9 +37,8 @@
     Replica& replica_;
     std::size_t submitting_ = 0;
     std::size_t polling_ = 0;
-    // Final answers never change, so a bounded memory of them is always right.
-    std::unordered_map<std::string, Final> finals_;
-    std::list<std::string> final_order_;
+    FinalStates& finals_;
+    WaitingJobs waiting_jobs_;
 };
 
 }  // namespace hatchwind::service
--- a/src/wire/mesh_codec.cpp
+++ b/src/wire/mesh_codec.cpp
@@ -142,6 +142,7 @@
     for (const auto& a : m.unanswered) w.s(a);
     w.u(m.revision);
     put(w, m.cancels);
+    w.u(m.capabilities);
 }
 void put(Writer& w, const MeshReport& m) {
     const auto& r = m.report;
@@ -236,6 +237,7 @@
     for (auto n = r.count(); n > 0 && r.ok(); --n) m.unanswered.push_back(r.s());
     m.revision = r.optional_u();
     m.cancels = get_cancels(r);
+    m.capabilities = r.optional_u();
     return m;
 }
 
--- a/src/wire/mesh_codec.hpp
+++ b/src/wire/mesh_codec.hpp
@@ -52,6 +52,7 @@
     std::vector<std::string> unanswered;  // machines that report but do not answer this node
     core::Stamp revision = 0;             // of the sender's replica
     std::vector<CancelNotice> cancels;    // those that the receiver's replica may lack
+    std::uint64_t capabilities = 0;  // of the sender's version, see core/epoch.hpp; earlier ones tell none
     friend bool operator==(const MeshHeartbeat&, const MeshHeartbeat&) = default;
 };
 
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -62,12 +62,23 @@
     return out;
 }
 
+// Nothing when one of them is no job id.
+std::optional<std::vector<std::string>> distinct_job_ids(const Json* l) {
+    auto ids = texts(l);
+    if (!ids || !std::all_of(ids->begin(), ids->end(), [](const auto& id) { return is_job_id(id); }))
+        return std::nullopt;
+    std::sort(ids->begin(), ids->end());
+    ids->erase(std::unique(ids->begin(), ids->end()), ids->end());
+    return ids;
+}
+
+constexpr std::string_view kJobIdPrefix = "req-";
+
 }  // namespace
 
 bool is_job_id(std::string_view id) {
-    constexpr std::string_view prefix = "req-";
-    if (!id.starts_with(prefix) || id.size() < prefix.size() + 1 || id.size() > 40) return false;
-    id.remove_prefix(prefix.size());
+    if (!id.starts_with(kJobIdPrefix) || id.size() < kJobIdPrefix.size() + 1 || id.size() > 40) return false;
+    id.remove_prefix(kJobIdPrefix.size());
     return std::all_of(id.begin(), id.end(), [](char c) { return c >= '0' && c <= '9'; });
 }
 
@@ -156,6 +167,15 @@
         j.deadline_s = number(v, "dueS");
         if ((!j.deadline_s || *j.deadline_s < 0 || *j.deadline_s > kMost) && wrong.empty()) wrong = "dueS";
     }
+    if (present(v, "awaits")) {
+        auto awaits = distinct_job_ids(list(v, "awaits"));
+        const bool valid = awaits && std::find(awaits->begin(), awaits->end(), j.id) == awaits->end();
+        if (valid) {
+            j.awaits = std::move(*awaits);
+        } else if (wrong.empty()) {
+            wrong = "awaits";
+        }
+    }
     if (!wrong.empty()) return wrong;
     return j;
 }
@@ -412,6 +432,11 @@
     if (j.waiting()) {
         v["awaits"] = j.awaits;
         v["later_team"] = j.team_once_released;
+        if (j.await_parts > 0) {
+            v["awaits"] = Json::array();
+            v["await_list"] = j.await_list;
+            v["await_parts"] = j.await_parts;
+        }
     }
     return v;
 }
@@ -458,6 +483,8 @@
         if (!awaits) return std::nullopt;
         j.awaits = std::move(*awaits);
     }
+    j.await_list = text(v, "await_list").value_or("");
+    j.await_parts = static_cast<std::uint32_t>(whole(v, "await_parts").value_or(0));
     if (const auto c = whole(v, "cancelled")) {
         j.cancelled = true;
         j.cancelled_at = core::Micros{static_cast<std::int64_t>(*c)};
@@ -465,6 +492,29 @@
     return j;
 }
 
+Json job_ids_record(const std::vector<std::string>& ids) {
+    // Without the prefix that all have: the size counts.
+    std::string text;
+    for (const auto& id : ids) {
+        if (!text.empty()) text += ',';
+        text += std::string_view(id).substr(kJobIdPrefix.size());
+    }
+    return {{"ids", std::move(text)}};
+}
+
+std::optional<std::vector<std::string>> parse_job_ids_record(const Json& v) {
+    const auto joined = text(v, "ids");
+    if (!joined) return std::nullopt;
+    std::vector<std::string> ids;
+    for (std::size_t from = 0; from <= joined->size();) {
+        const std::size_t end = std::min(joined->find(',', from), joined->size());
+        ids.push_back(std::string(kJobIdPrefix) + joined->substr(from, end - from));
+        if (!is_job_id(ids.back())) return std::nullopt;
+        from = end + 1;
+    }
+    return ids;
+}
+
 Json chunk_record(const core::Chunk& c) {
     Json done = Json::array();
     for (const auto& [from, to] : c.done.ranges()) done.push_back({from, to});
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -77,6 +77,9 @@
 // Records that this service keeps in the store.
 Json job_record(const core::Job& j);
 std::optional<core::Job> parse_job_record(const std::string& id, const Json& v);
+// A part of a list of jobs that is too long for one record.
+Json job_ids_record(const std::vector<std::string>& ids);
+std::optional<std::vector<std::string>> parse_job_ids_record(const Json& v);
 Json chunk_record(const core::Chunk& c);
 std::optional<core::Chunk> parse_chunk_record(const Json& v, core::Stamp stamp);
 Json epoch_record(const core::Epoch& e);
