Tests of jobs that wait for others, end to end and on generated graphs

A submission that names a waiting job whose ancestor is cancelled is answered cancelled at once: found by the test of the long chain, which failed before.

--- a/src/core/dependency_graph.cpp
+++ b/src/core/dependency_graph.cpp
@@ -107,10 +107,11 @@
     return DependencyPass{ledger, ending}.run(mine);
 }
 
-Ancestry look_back(const Ledger& ledger, const std::string& job, const EndingOf& ending) {
+Ancestry look_back(const Ledger& ledger, const std::vector<std::string>& jobs, const EndingOf& ending) {
     Ancestry ancestry;
-    std::unordered_set<std::string_view> seen{job};
-    std::vector<const std::string*> to_visit{&job};
+    std::unordered_set<std::string_view> seen(jobs.begin(), jobs.end());
+    std::vector<const std::string*> to_visit;
+    for (const auto& job : jobs) to_visit.push_back(&job);
     while (!to_visit.empty()) {
         const std::string& id = *to_visit.back();
         to_visit.pop_back();
--- a/src/core/dependency_graph.hpp
+++ b/src/core/dependency_graph.hpp
@@ -28,12 +28,12 @@
 DependencyPlan plan_dependencies(const Ledger& ledger, const EndingOf& ending,
                                  const std::function<bool(const Job&)>& mine);
 
-// What the jobs that one waiting job needs, directly or through others, say about it.
+// What some jobs, and those that they need, directly or through others, say about a job that needs them all.
 struct Ancestry {
-    bool cancelled = false;                    // one of them is: so is this job, whatever else is not known
+    bool cancelled = false;                    // one of them is: so is the job, whatever else is not known
     bool complete = true;                      // false: the needs of one of them are not known here
     std::vector<std::string> unknown_endings;  // without repeats
 };
-Ancestry look_back(const Ledger& ledger, const std::string& job, const EndingOf& ending);
+Ancestry look_back(const Ledger& ledger, const std::vector<std::string>& jobs, const EndingOf& ending);
 
 }  // namespace hatchwind::core
--- a/src/service/dependencies.cpp
+++ b/src/service/dependencies.cpp
@@ -20,8 +20,10 @@
 constexpr std::size_t kEndingsOfOnePass = 1000;
 constexpr std::size_t kTransactionBytes = 48 * 1024;  // of the JSON form
 constexpr std::size_t kStepOverhead = 200;
-// Users are told of a cancellation whether or not it has been written, so these writes give way to others.
-constexpr std::size_t kCancelGroupsOfOnePass = 1;
+// Users are told of a cancellation whether or not it has been written, so these writes give way to others:
+// they take what the budget has to spare, and a little in any case.
+constexpr std::size_t kLeastCancelGroups = 1;
+constexpr std::size_t kMostCancelGroups = 8;
 }  // namespace
 
 bool Dependencies::acts_for(const core::Job& job) const {
@@ -131,7 +133,10 @@
         for (const auto& id : plan.unknown_endings) news = news || finals_.known(id) != nullptr;
     }
     if (ok && !cancels.empty()) {
-        auto task = commit(std::move(cancels), kCancelGroupsOfOnePass);
+        const double spare = std::max(0.0, node_.state.spare_writes());
+        const auto affordable = static_cast<std::size_t>(spare) / node_.settings.txn_ops;
+        const std::size_t groups = std::clamp(affordable, kLeastCancelGroups, kMostCancelGroups);
+        auto task = commit(std::move(cancels), groups);
         ok = co_await std::move(task);
     }
     if (!ok) co_await node_.loop.sleep(kAfterFailure);
--- a/src/service/waiting_jobs.cpp
+++ b/src/service/waiting_jobs.cpp
@@ -110,12 +110,8 @@
         const Lookup lookup = co_await std::move(last_look);
         co_return lookup == Lookup::absent ? std::optional{Needs::never_accepted} : std::nullopt;
     }
-    const auto is_cancelled = [&](const std::string& id) {
-        const core::JobEntry* unfinished = node_.ledger.find(id);
-        return unfinished != nullptr ? unfinished->job.cancelled
-                                     : finals_.ending(id) == core::Ending::cancelled;
-    };
-    if (std::any_of(needs.begin(), needs.end(), is_cancelled)) co_return Needs::cancelled;
+    const core::EndingOf ending = [this](const std::string& id) { return finals_.ending(id); };
+    if (core::look_back(node_.ledger, needs, ending).cancelled) co_return Needs::cancelled;
     std::erase_if(needs, [&](const std::string& id) { return finals_.ending(id) == core::Ending::done; });
     co_return needs.empty() ? Needs::none : Needs::wait;
 }
@@ -181,8 +177,9 @@
 
 Task<WaitingJobs::Verdict> WaitingJobs::cancelled_by_need(std::string id, Micros deadline) {
     const core::EndingOf ending = [this](const std::string& job) { return finals_.ending(job); };
+    const std::vector<std::string> asked{id};
     for (int round = 0; round < kRoundsOfReading; ++round) {
-        const core::Ancestry ancestry = core::look_back(node_.ledger, id, ending);
+        const core::Ancestry ancestry = core::look_back(node_.ledger, asked, ending);
         if (ancestry.cancelled) co_return Verdict::cancelled;
         if (!ancestry.complete) co_return Verdict::undecided;
         if (ancestry.unknown_endings.empty()) co_return Verdict::not_cancelled;
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -23,6 +23,58 @@
     });
 }
 
+// A page with the first attempts of a released job is read before the record of its release.
+TEST(Ledger, AReleaseThatIsReadLateMovesTheUseToTheTeam) {
+    core::Ledger ledger;
+    core::Job job = test::job("req-1", core::kWaitingTeam, 4, 2);
+    job.awaits = {"req-0"};
+    job.team_once_released = "x";
+    ledger.put_job(job, 1);
+    core::Chunk chunk;
+    chunk.stamp = 3;
+    chunk.open[0] = {1, "n-1", 1};
+    chunk.open[1] = {1, "n-1", 1};
+    ledger.put_chunk("req-1", 0, chunk);
+    job.team = "x";
+    job.awaits.clear();
+    ledger.put_job(job, 2);
+    EXPECT_DOUBLE_EQ(ledger.team_use("x").cpus, 4);
+    EXPECT_DOUBLE_EQ(ledger.team_use(core::kWaitingTeam).cpus, 0);
+    EXPECT_TRUE(ledger.waiting().empty());
+    ledger.erase_job("req-1", 4);
+    EXPECT_DOUBLE_EQ(ledger.team_use("x").cpus, 0);
+}
+
+// The parts of a long list and the record that names them come in any order.
+TEST(Ledger, ALongListIsKnownOnceAllItsPartsAre) {
+    holds("parts and record in any order", [] {
+        core::Job job = test::job("req-1", core::kWaitingTeam, 1, 1);
+        job.team_once_released = "x";
+        job.await_list = "l";
+        job.await_parts = static_cast<std::uint32_t>(*rc::gen::inRange(1, 5));
+        std::vector<std::uint32_t> order;  // the record is the last number
+        for (std::uint32_t part = 0; part <= job.await_parts; ++part) order.push_back(part);
+        for (std::size_t i = order.size(); i > 1; --i)
+            std::swap(order[i - 1], order[*rc::gen::inRange<std::size_t>(0, i)]);
+        core::Ledger ledger;
+        std::vector<std::string> all;
+        for (std::uint32_t part = 0; part < job.await_parts; ++part)
+            all.push_back("req-" + std::to_string(10 + part));
+        ledger.put_await_part("req-1", "another", 0, {"req-99"});
+        for (std::size_t i = 0; i < order.size(); ++i) {
+            const core::JobEntry* entry = ledger.find("req-1");
+            const bool known = entry != nullptr && entry->job.needs_known();
+            RC_ASSERT(!known);
+            if (order[i] == job.await_parts) {
+                ledger.put_job(job, 5);
+            } else {
+                ledger.put_await_part("req-1", "l", order[i], {all[order[i]]});
+            }
+        }
+        RC_ASSERT(ledger.find("req-1")->job.awaits == all);
+    });
+}
+
 // The store as a model: each change has its stamp. The ledger gets the changes late, twice and out of
 // order within a key, and must end where the store is.
 TEST(Ledger, EndsWhereTheStoreIsWhateverOrderChangesArriveIn) {
--- a/tests/mesh_codec_test.cpp
+++ b/tests/mesh_codec_test.cpp
@@ -28,6 +28,7 @@
     b.acting = *rc::gen::arbitrary<bool>();
     b.revision = *rc::gen::arbitrary<std::uint64_t>();
     b.cancels = draw_cancels();
+    b.capabilities = *rc::gen::arbitrary<std::uint64_t>();
     const int n = *rc::gen::inRange(0, 5);
     for (int i = 0; i < n; ++i) {
         b.answered.emplace_back(*rc::gen::arbitrary<std::string>(),
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -290,6 +290,8 @@
         std::vector<std::string> broken_rules;
         io::Micros run_time{300'000};
         std::set<std::string> endless;  // jobs whose tasks never end
+        // Tasks that must have completed before any task of a job starts.
+        std::map<std::string, std::vector<std::string>> needs;
         double lease_s = 3;
     };
     WorkerStandIn(io::Loop& loop, World& w, std::string id, std::string zone, std::vector<io::Address> nodes,
@@ -360,6 +362,10 @@
                 if (it != tasks_.end() && it->second.attempt == attempt) continue;
                 if (it != tasks_.end() && it->second.state != "exited") continue;
                 if (world_.running.contains(name)) world_.broken_rules.push_back("ran_twice " + name);
+                for (const auto& need : world_.needs[name.substr(0, name.find('/'))]) {
+                    if (world_.completed[need] == 0)
+                        world_.broken_rules.push_back("too_early " + name + " before " + need);
+                }
                 world_.running[name] = id_;
                 ++world_.started[name];
                 tasks_[name] = {attempt, "running", "", io::steady_now() + world_.run_time};
