--- a/src/core/epoch.hpp
+++ b/src/core/epoch.hpp
@@ -44,8 +44,8 @@
 
 struct NodeRecord {
     std::uint64_t grant = 0;
-    std::uint64_t capabilities = 0;
     Stamp stamp = 0;
+    std::uint64_t capabilities = 0;
 };
 
 struct EpochInput {
--- a/src/service/dependencies.hpp
+++ b/src/service/dependencies.hpp
@@ -3,7 +3,7 @@
 // written, so whoever owns a team next carries on, and every step may be repeated.
 #pragma once
 
-#include "service/final_states.hpp"
+#include "service/final_state_reader.hpp"
 #include "service/node.hpp"
 #include "service/replica.hpp"
 
@@ -11,7 +11,7 @@
 
 class Dependencies {
   public:
-    Dependencies(Node& node, Replica& replica, FinalStates& finals)
+    Dependencies(Node& node, Replica& replica, FinalStateReader& finals)
         : node_(node), replica_(replica), finals_(finals) {}
     io::Task<void> run();
 
@@ -39,7 +39,7 @@
 
     Node& node_;
     Replica& replica_;
-    FinalStates& finals_;
+    FinalStateReader& finals_;
     io::Micros planning_took_{0};  // in the last pass
     io::Micros last_removal_{0};
 };
--- a/src/service/final_states.cpp
+++ b/src/service/final_state_reader.cpp
@@ -1,4 +1,4 @@
-#include "service/final_states.hpp"
+#include "service/final_state_reader.hpp"
 
 #include <algorithm>
 
@@ -13,17 +13,8 @@
 // More than so many are read as pages of keys: a list may name thousands of jobs, and the budget of requests
 // is some dozens a second.
 constexpr std::size_t kReadSingly = 12;
-constexpr std::size_t kLeastKept = 1000;
-constexpr std::size_t kMostKept = 65'536;
-constexpr double kBytesOfOne = 160;
-constexpr double kPartOfMemory = 1.0 / 64;
 constexpr std::string_view kFinal = "f/";
 
-std::size_t kept(double memory_mb) {
-    const auto affordable = static_cast<std::size_t>(memory_mb * 1024 * 1024 * kPartOfMemory / kBytesOfOne);
-    return std::clamp(affordable, kLeastKept, kMostKept);
-}
-
 // A key before `key` with nothing in between that a job may have.
 std::string just_before(std::string key) {
     --key.back();
@@ -32,7 +23,7 @@
 }  // namespace
 
 // What the readers of one call share.
-struct FinalStates::Batch {
+struct FinalStateReader::Batch {
     std::vector<std::string> jobs;
     Micros deadline;
     io::Signal read;
@@ -42,28 +33,14 @@
     bool ok = true;
 };
 
-FinalStates::FinalStates(Node& node) : node_(node), kept_(kept(node.settings.memory_mb)) {}
-
-const FinalState* FinalStates::known(const std::string& job) const {
-    const auto it = states_.find(job);
-    return it == states_.end() ? nullptr : &it->second;
-}
-
-std::optional<core::Ending> FinalStates::ending(const std::string& job) const {
+std::optional<core::Ending> FinalStateReader::ending(const std::string& job) const {
     const FinalState* state = known(job);
     if (state == nullptr) return std::nullopt;
     return state->status == wire::JobStatus::done ? core::Ending::done : core::Ending::cancelled;
 }
 
-void FinalStates::note(const std::string& job, FinalState state) {
-    if (!states_.emplace(job, state).second) return;
-    order_.push_back(job);
-    if (order_.size() <= kept_) return;
-    states_.erase(order_.front());
-    order_.pop_front();
-}
-
-Task<Lookup> FinalStates::find(std::string job, FinalState& into, core::Stamp& revision, Micros deadline) {
+Task<Lookup> FinalStateReader::find(std::string job, FinalState& into, core::Stamp& revision,
+                                    Micros deadline) {
     if (const FinalState* state = known(job)) {
         into = *state;
         co_return Lookup::found;
@@ -80,7 +57,7 @@
     co_return Lookup::found;
 }
 
-Task<void> FinalStates::read_singly(Batch& batch) {
+Task<void> FinalStateReader::read_singly(Batch& batch) {
     while (batch.ok && batch.next < batch.jobs.size()) {
         FinalState state;
         core::Stamp revision = 0;
@@ -92,7 +69,8 @@
     if (--batch.readers == 0) batch.read.notify_all();
 }
 
-Task<bool> FinalStates::read_pages(std::vector<std::string> jobs, core::Stamp& revision, Micros deadline) {
+Task<bool> FinalStateReader::read_pages(std::vector<std::string> jobs, core::Stamp& revision,
+                                        Micros deadline) {
     std::size_t next = 0;
     while (next < jobs.size()) {
         if (steady_now() >= deadline) co_return false;
@@ -115,7 +93,7 @@
     co_return true;
 }
 
-Task<bool> FinalStates::read_all(std::vector<std::string> jobs, core::Stamp& revision, Micros deadline) {
+Task<bool> FinalStateReader::read_all(std::vector<std::string> jobs, core::Stamp& revision, Micros deadline) {
     std::erase_if(jobs, [&](const auto& job) { return known(job) != nullptr; });
     if (jobs.size() > kReadSingly) {
         std::sort(jobs.begin(), jobs.end());
--- /dev/null
+++ b/src/service/group_commit.cpp
@@ -0,0 +1,169 @@
+#include "service/group_commit.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace hatchwind::service {
+
+using io::Micros;
+using io::steady_now;
+using io::Task;
+
+namespace {
+constexpr std::size_t kTransactionBytes = std::size_t{56} * 1024;  // of the JSON form
+constexpr std::size_t kConditionsPerWrite = 4;
+constexpr Micros kCommitTime{3'000'000};
+constexpr Micros kUnknownPause{100'000};
+constexpr Micros kRefusedPause{150'000};
+constexpr Micros kConflictTime{2'000'000};
+constexpr Micros kEraseTime{1'000'000};
+constexpr std::size_t kErasedTogether = 3;
+}  // namespace
+
+std::size_t GroupCommit::fitting(std::span<const WriteUnit> units) const {
+    const std::size_t most_writes = node_.settings.txn_ops;
+    const std::size_t most_conditions = kConditionsPerWrite * most_writes;
+    std::size_t writes = 0;
+    std::size_t conditions = 1;  // the epoch's
+    std::size_t bytes = 0;
+    std::size_t count = 0;
+    for (const WriteUnit& unit : units) {
+        writes += unit.writes();
+        conditions += unit.conditions.size();
+        bytes += unit.bytes;
+        const bool too_much =
+            writes > most_writes || conditions > most_conditions || bytes > kTransactionBytes;
+        if (count != 0 && too_much) break;
+        ++count;
+    }
+    return count;
+}
+
+wire::Transaction GroupCommit::transaction(std::span<const WriteUnit> units) const {
+    wire::Transaction transaction;
+    transaction.conditions.emplace_back(keys::kEpoch, node_.epoch.stamp);
+    for (const WriteUnit& unit : units) {
+        transaction.conditions.insert(transaction.conditions.end(), unit.conditions.begin(),
+                                      unit.conditions.end());
+        for (const auto& write : unit.extra) transaction.writes.push_back({write.key, write.value, 0});
+        for (const auto& write : unit.effects) transaction.writes.push_back({write.key, write.value, 0});
+    }
+    return transaction;
+}
+
+Task<bool> GroupCommit::write(std::vector<WriteUnit> units) {
+    std::span<WriteUnit> left{units};
+    while (!left.empty()) {
+        const std::size_t count = fitting(left);
+        const std::span<WriteUnit> batch = left.first(count);
+        Group group{transaction(batch), {}};
+        std::move(batch.begin(), batch.end(), std::back_inserter(group.units));
+        auto task = send(std::move(group));
+        const bool committed = co_await std::move(task);
+        if (!committed) co_return false;
+        left = left.subspan(count);
+    }
+    co_return true;
+}
+
+bool GroupCommit::in_doubt() {
+    // No copy of a transaction of an earlier epoch can be carried out any more.
+    if (in_doubt_ && in_doubt_->epoch() != node_.epoch.stamp) in_doubt_.reset();
+    return in_doubt_.has_value();
+}
+
+Task<void> GroupCommit::repeat() {
+    Group again = *in_doubt_;
+    auto task = send(std::move(again));
+    co_await std::move(task);
+}
+
+Task<bool> GroupCommit::send(Group group) {
+    const bool sent_before = in_doubt_.has_value();
+    auto task = node_.state.commit(group.transaction, steady_now() + kCommitTime);
+    const CommitResult result = co_await std::move(task);
+    if (result.outcome == Commit::done) {
+        in_doubt_.reset();
+        committed(group, result.revision);
+        co_return true;
+    }
+    if (result.outcome == Commit::conflict) {
+        in_doubt_.reset();
+        auto reach =
+            replica_.reach_conflict(group.transaction.conditions, result, steady_now() + kConflictTime);
+        const bool reached = co_await std::move(reach);
+        if (reached && sent_before) reap_what_is_recorded(group);
+        co_return false;
+    }
+    // Without an answer it may have been carried out, or may be later: the same again until there is an
+    // answer. Its conditions make all but one copy fail. A refusal of the repeat says nothing about the first
+    // copy (UserAnswers.ALateGroupCommitOfTheSameOwnerRecordsNothing).
+    if (result.outcome == Commit::unknown || (sent_before && result.outcome == Commit::not_now)) {
+        if (group.epoch() == node_.epoch.stamp) in_doubt_ = std::move(group);
+    } else {
+        in_doubt_.reset();
+    }
+    co_await node_.loop.sleep(result.outcome == Commit::unknown ? kUnknownPause : kRefusedPause);
+    co_return false;
+}
+
+void GroupCommit::committed(Group& group, core::Stamp revision) {
+    const core::Stamp epoch = group.epoch();
+    for (WriteUnit& unit : group.units) committed(unit, revision, epoch);
+}
+
+void GroupCommit::committed(WriteUnit& unit, core::Stamp revision, core::Stamp epoch) {
+    for (auto& effect : unit.effects) {
+        effect.stamp = revision;
+        replica_.committed(effect);
+    }
+    for (const auto& [job, state] : unit.ends) replica_.final_states().insert(job, state);
+    pages_.written(unit.chunks);
+    for (auto& closed : unit.closed) dispatch_.end_recorded(std::move(closed));
+    // Recorded, so it may start; if this node is the owner no more, its order is void.
+    if (!node_.acting() || epoch != node_.epoch.stamp) return;
+    for (const auto& started : unit.started) {
+        // The answer may come long after the record, and a confirmed cancel in between
+        // (UserAnswers.ACancelConfirmedBeforeTheStartsRecordIsAnsweredStartsNothing).
+        const core::JobEntry* entry = node_.ledger.find(started.job);
+        if (entry != nullptr && !entry->job.cancelled) dispatch_.start_recorded(started);
+    }
+}
+
+void GroupCommit::reap_what_is_recorded(const Group& group) {
+    for (const WriteUnit& unit : group.units) {
+        for (const auto& closed : unit.closed) {
+            const core::Attempt* open = node_.ledger.open_attempt(closed.job, closed.task);
+            if (open == nullptr || open->number != closed.attempt.number) dispatch_.end_recorded(closed);
+        }
+    }
+}
+
+bool GroupCommit::unused(const core::AttemptPage& page) const {
+    return std::none_of(page.chunks.begin(), page.chunks.end(),
+                        [&](const auto& chunk) { return node_.ledger.find(chunk.first) != nullptr; });
+}
+
+Task<void> GroupCommit::erase_unused_pages() {
+    wire::Transaction transaction;
+    std::vector<wire::StoreItem> effects;
+    transaction.conditions.emplace_back(keys::kEpoch, node_.epoch.stamp);
+    for (const auto& [key, page] : node_.ledger.pages()) {
+        if (transaction.writes.size() >= kErasedTogether) break;
+        if (!node_.owns(key.first) || !unused(page)) continue;
+        transaction.conditions.emplace_back(keys::page(key), page.stamp);
+        transaction.writes.push_back({keys::page(key), std::nullopt, 0});
+        effects.push_back({keys::page(key), std::nullopt, 0});
+    }
+    if (effects.empty()) co_return;
+    auto task = node_.state.commit(std::move(transaction), steady_now() + kEraseTime);
+    const CommitResult result = co_await std::move(task);
+    if (result.outcome != Commit::done) co_return;
+    for (auto& effect : effects) {
+        effect.stamp = result.revision;
+        replica_.committed(effect);
+    }
+}
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/group_commit.hpp
@@ -0,0 +1,57 @@
+// Group commit: writes units in as few transactions as the store's limits allow, and acts on what is
+// committed.
+#pragma once
+
+#include <optional>
+#include <span>
+#include <vector>
+
+#include "service/attempt_page_writer.hpp"
+#include "service/node.hpp"
+#include "service/order_dispatch.hpp"
+#include "service/replica.hpp"
+#include "service/write_unit.hpp"
+
+namespace hatchwind::service {
+
+class GroupCommit {
+  public:
+    GroupCommit(Node& node, Replica& replica, AttemptPageWriter& pages, OrderDispatch& dispatch)
+        : node_(node), replica_(replica), pages_(pages), dispatch_(dispatch) {}
+
+    // False when the pass must begin anew.
+    io::Task<bool> write(std::vector<WriteUnit> units);
+    // True while a transaction of this epoch got no answer: it may be carried out at any later time. Until it
+    // is, or is refuted, nothing else may be planned: a plan without it could start its tasks a second time,
+    // or others beyond a team's limit.
+    bool in_doubt();
+    // Sends that transaction again.
+    io::Task<void> repeat();
+    // Erases a few pages that only speak of jobs that are over.
+    io::Task<void> erase_unused_pages();
+
+  private:
+    // As many units from the front as go into one transaction.
+    std::size_t fitting(std::span<const WriteUnit> units) const;
+    wire::Transaction transaction(std::span<const WriteUnit> units) const;
+    // A group commit as it was sent.
+    struct Group {
+        wire::Transaction transaction;
+        std::vector<WriteUnit> units;
+        core::Stamp epoch() const { return transaction.conditions.front().second; }
+    };
+    io::Task<bool> send(Group group);
+    void committed(Group& group, core::Stamp revision);
+    void committed(WriteUnit& unit, core::Stamp revision, core::Stamp epoch);
+    // The ends of attempts may have been recorded by a copy of a transaction that got no answer.
+    void reap_what_is_recorded(const Group& group);
+    bool unused(const core::AttemptPage& page) const;
+
+    Node& node_;
+    Replica& replica_;
+    AttemptPageWriter& pages_;
+    OrderDispatch& dispatch_;
+    std::optional<Group> in_doubt_;
+};
+
+}  // namespace hatchwind::service
--- a/src/service/replica.cpp
+++ b/src/service/replica.cpp
@@ -28,6 +28,16 @@
     return core::AttemptPageKey{std::string(key.substr(kRun.size(), team_end - kRun.size())), number};
 }
 
+// A list of needs may name some five thousand jobs, and all of their endings have to be known at a time.
+std::size_t final_states_kept(double memory_mb) {
+    constexpr double kPartOfMemory = 1.0 / 64;
+    constexpr double kBytesOfOne = 160;
+    constexpr std::size_t kLeast = 4000;
+    constexpr std::size_t kMost = 65'536;
+    const auto affordable = static_cast<std::size_t>(memory_mb * 1024 * 1024 * kPartOfMemory / kBytesOfOne);
+    return std::clamp(affordable, kLeast, kMost);
+}
+
 struct AwaitPartKey {
     std::string job;
     std::string list;
@@ -43,6 +53,9 @@
 }
 }  // namespace
 
+Replica::Replica(Node& n)
+    : node_(n), final_states_(final_states_kept(n.settings.memory_mb)), read_done_(n.loop) {}
+
 void Replica::apply(const wire::StoreItem& item) {
     const std::string_view key = item.key;
     bool ok = true;
@@ -105,10 +118,22 @@
     if (!ok) spdlog::error("event=bad_record key={} stamp={}", item.key, item.stamp);
 }
 
+void Replica::note_end(const std::string& id, core::Stamp deleted) {
+    const core::JobEntry* entry = node_.ledger.find(id);
+    if (entry == nullptr || entry->stamp >= deleted || wrong_) return;
+    // A job that waits for others can only end by a cancellation.
+    if (entry->job.cancelled || entry->job.waiting()) {
+        final_states_.insert(id, {wire::JobStatus::cancelled, entry->done});
+    } else {
+        final_states_.insert(id, {wire::JobStatus::done, entry->job.tasks});
+    }
+}
+
 void Replica::committed(const wire::StoreItem& item) {
     // The answer to a commit may come long after the watch has brought the change, and its deletion too. A
     // deletion leaves no stamp that would keep the old record out: it would stay in this copy alone, and
     // every transaction that names it would fail.
+    latest_own_ = std::max(latest_own_, item.stamp);
     if (item.stamp <= node_.revision) return;
     apply(item);
     if (loading_) committed_while_loading_.push_back(item);
@@ -150,6 +175,7 @@
     loading_ = false;
     node_.revision = first;
     node_.take_cancels(told);
+    own_at_load_ = latest_own_;
     node_.synced = true;
     node_.synced_wall = io::wall_now();
     node_.advanced.notify_all();
@@ -181,7 +207,10 @@
             co_await node_.loop.sleep(Micros{150'000});
             continue;
         }
-        for (const auto& i : w.page.items) apply(i);
+        for (const auto& i : w.page.items) {
+            if (!i.value && i.key.starts_with(kJob)) note_end(i.key.substr(kJob.size()), i.stamp);
+            apply(i);
+        }
         node_.revision = std::max(node_.revision, w.page.revision);
         node_.advanced.notify_all();
         if (!w.page.items.empty()) {
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -29,7 +29,7 @@
       membership_(node_, replica_),
       mesh_(node_, membership_),
       workers_(node_, scope_),
-      finals_(node_),
+      finals_(node_, replica_),
       users_(node_, replica_, finals_),
       dependencies_(node_, replica_, finals_),
       owner_(node_, replica_, workers_),
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -4,7 +4,7 @@
 #include "io/http.hpp"
 #include "service/cancel_enforcement.hpp"
 #include "service/dependencies.hpp"
-#include "service/final_states.hpp"
+#include "service/final_state_reader.hpp"
 #include "service/leader.hpp"
 #include "service/membership.hpp"
 #include "service/mesh.hpp"
@@ -30,7 +30,7 @@
     Membership membership_;
     Mesh mesh_;
     Workers workers_;
-    FinalStates finals_;
+    FinalStateReader finals_;
     UsersApi users_;
     Dependencies dependencies_;
     Owner owner_;
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -107,7 +107,7 @@
 }
 
 Task<Lookup> UsersApi::current_state(std::string id, HttpResponse& answer, Micros deadline) {
-    if (node_.ledger.find(id) != nullptr) {
+    if (finals_.known(id) == nullptr && node_.ledger.find(id) != nullptr) {
         auto index = replica_.caught_up(deadline);
         const bool current = co_await std::move(index);
         if (!current) co_return Lookup::failed;
@@ -118,7 +118,7 @@
     // Final states never change, so one read serves what has ended. With a read index before it, a slow state
     // service took longer than users wait, and only they were never answered
     // (UserAnswers.AnEndedJobIsAnsweredWhileTheStateServiceIsSlow).
-    FinalState final_state{};
+    FinalState final_state;
     core::Stamp revision = 0;
     auto first = finals_.find(id, final_state, revision, deadline);
     Lookup found = co_await std::move(first);
@@ -235,7 +235,7 @@
     const Lookup described = co_await std::move(describing);
     if (described == Lookup::found) co_return answer;
     if (described == Lookup::failed) co_return retry_later();
-    FinalState f{};
+    FinalState f;
     core::Stamp revision = 0;
     auto lookup = finals_.find(id, f, revision, deadline);
     const Lookup found = co_await std::move(lookup);
@@ -260,6 +260,8 @@
 
 Task<HttpResponse> UsersApi::cancel(std::string id) {
     if (!wire::is_job_id(id)) co_return plain(404);
+    if (const FinalState* ended = finals_.known(id))
+        co_return with_body(200, wire::job_answer(id, ended->status));
     if (submitting_ >= kSubmitting) co_return retry_later(429);
     const Counted counted{submitting_};
     if (!node_.synced || !node_.state.reachable(steady_now())) co_return retry_later();
@@ -273,7 +275,7 @@
             e = node_.ledger.find(id);
         }
         if (e == nullptr) {
-            FinalState f{};
+            FinalState f;
             core::Stamp revision = 0;
             auto lookup = finals_.find(id, f, revision, deadline);
             const Lookup found = co_await std::move(lookup);
--- a/src/service/users_api.hpp
+++ b/src/service/users_api.hpp
@@ -3,7 +3,7 @@
 
 #include <optional>
 
-#include "service/final_states.hpp"
+#include "service/final_state_reader.hpp"
 #include "service/node.hpp"
 #include "service/replica.hpp"
 #include "service/waiting_jobs.hpp"
@@ -12,7 +12,7 @@
 
 class UsersApi {
   public:
-    UsersApi(Node& n, Replica& r, FinalStates& finals)
+    UsersApi(Node& n, Replica& r, FinalStateReader& finals)
         : node_(n), replica_(r), finals_(finals), waiting_jobs_(n, r, finals) {}
     io::Task<io::HttpResponse> submit(io::HttpRequest request);
     io::Task<io::HttpResponse> poll(std::string id);
@@ -37,7 +37,7 @@
     Replica& replica_;
     std::size_t submitting_ = 0;
     std::size_t polling_ = 0;
-    FinalStates& finals_;
+    FinalStateReader& finals_;
     WaitingJobs waiting_jobs_;
 };
 
--- a/src/service/waiting_jobs.hpp
+++ b/src/service/waiting_jobs.hpp
@@ -1,7 +1,7 @@
 // What users are told of jobs that wait for others, and what a submission that names others comes to.
 #pragma once
 
-#include "service/final_states.hpp"
+#include "service/final_state_reader.hpp"
 #include "service/node.hpp"
 #include "service/replica.hpp"
 
@@ -9,7 +9,7 @@
 
 class WaitingJobs {
   public:
-    WaitingJobs(Node& node, Replica& replica, FinalStates& finals)
+    WaitingJobs(Node& node, Replica& replica, FinalStateReader& finals)
         : node_(node), replica_(replica), finals_(finals) {}
 
     enum class Needs : std::uint8_t {
@@ -43,7 +43,7 @@
 
     Node& node_;
     Replica& replica_;
-    FinalStates& finals_;
+    FinalStateReader& finals_;
 };
 
 }  // namespace hatchwind::service
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -133,6 +133,7 @@
     io::Micros watch_latency{0};                  // the answer is as old as that when it arrives
     io::Micros list_latency{0};                   // likewise a page of keys
     bool hold_watches = false;
+    std::size_t lists = 0;
     std::size_t writes = 0;  // puts and deletes carried out
     std::size_t conflicts = 0;
 
@@ -197,15 +198,17 @@
         const auto body = wire::decode(q.body);
         if (q.target.starts_with("/store?")) {
             Json pairs = Json::array();
+            bool more = false;
             for (const auto& [k, i] : items) {
                 if (!k.starts_with(query(q.target, "starts")) || k <= query(q.target, "after")) continue;
-                if (pairs.size() == page)
-                    co_return reply(200, {{"pairs", pairs}, {"hasNext", true}, {"ledger", revision}});
+                more = pairs.size() == page;
+                if (more) break;
                 pairs.push_back({{"path", k}, {"v", i.value}, {"stamp", i.stamp}});
             }
-            auto last = reply(200, {{"pairs", pairs}, {"hasNext", false}, {"ledger", revision}});
+            auto out = reply(200, {{"pairs", pairs}, {"hasNext", more}, {"ledger", revision}});
+            ++lists;
             if (list_latency.count() > 0) co_await loop_.sleep(list_latency);
-            co_return last;
+            co_return out;
         }
         if (q.target.starts_with("/store/")) {
             if (read_latency.count() > 0) co_await loop_.sleep(read_latency);
