--- a/src/core/dependency_graph.cpp
+++ b/src/core/dependency_graph.cpp
@@ -111,6 +111,7 @@
     Ancestry ancestry;
     std::unordered_set<std::string_view> seen(jobs.begin(), jobs.end());
     std::vector<const std::string*> to_visit;
+    to_visit.reserve(jobs.size());
     for (const auto& job : jobs) to_visit.push_back(&job);
     while (!to_visit.empty()) {
         const std::string& id = *to_visit.back();
--- a/src/service/dependencies.cpp
+++ b/src/service/dependencies.cpp
@@ -18,7 +18,7 @@
 constexpr Micros kReadDeadline{2'000'000};
 constexpr Micros kCommitDeadline{3'000'000};
 constexpr std::size_t kEndingsOfOnePass = 1000;
-constexpr std::size_t kTransactionBytes = 48 * 1024;  // of the JSON form
+constexpr std::size_t kTransactionBytes = 48U << 10U;  // of the JSON form
 constexpr std::size_t kStepOverhead = 200;
 // Users are told of a cancellation whether or not it has been written, so these writes give way to others:
 // they take what the budget has to spare, and a little in any case.
@@ -55,27 +55,39 @@
             kStepOverhead};
 }
 
+wire::Transaction Dependencies::next_group(const std::vector<Step>& steps, std::size_t& next) const {
+    wire::Transaction t;
+    t.conditions.emplace_back(keys::kEpoch, node_.epoch.stamp);
+    const std::size_t first = next;
+    std::size_t bytes = 0;
+    for (; next < steps.size(); ++next) {
+        const Step& step = steps[next];
+        const std::size_t writes = step.effects.size() + (step.final_state ? 1 : 0);
+        bytes += step.bytes;
+        const bool full = t.writes.size() + writes > node_.settings.txn_ops || bytes > kTransactionBytes;
+        if (full && next != first) break;
+        t.conditions.emplace_back(keys::job(step.job), step.stamp);
+        for (const auto& effect : step.effects) t.writes.push_back({effect.key, effect.value, 0});
+        if (!step.final_state) continue;
+        wire::Json record = wire::final_record(step.final_state->status, step.final_state->done);
+        t.writes.push_back({keys::final(step.job), std::move(record), 0});
+    }
+    return t;
+}
+
+void Dependencies::carried_out(Step& step, core::Stamp revision) {
+    for (auto& effect : step.effects) {
+        effect.stamp = revision;
+        replica_.committed(effect);
+    }
+    if (step.final_state) finals_.note(step.job, *step.final_state);
+}
+
 Task<bool> Dependencies::commit(std::vector<Step> steps, std::size_t groups) {
     std::size_t next = 0;
     for (std::size_t group = 0; group < groups && next < steps.size(); ++group) {
-        wire::Transaction t;
-        t.conditions.emplace_back(keys::kEpoch, node_.epoch.stamp);
         const std::size_t first = next;
-        std::size_t bytes = 0;
-        for (; next < steps.size(); ++next) {
-            const Step& step = steps[next];
-            const std::size_t writes = step.effects.size() + (step.final_state ? 1 : 0);
-            bytes += step.bytes;
-            if (next != first &&
-                (t.writes.size() + writes > node_.settings.txn_ops || bytes > kTransactionBytes))
-                break;
-            t.conditions.emplace_back(keys::job(step.job), step.stamp);
-            for (const auto& effect : step.effects) t.writes.push_back({effect.key, effect.value, 0});
-            if (step.final_state) {
-                wire::Json record = wire::final_record(step.final_state->status, step.final_state->done);
-                t.writes.push_back({keys::final(step.job), std::move(record), 0});
-            }
-        }
+        wire::Transaction t = next_group(steps, next);
         const auto conditions = t.conditions;
         auto task = node_.state.commit(std::move(t), steady_now() + kCommitDeadline);
         const CommitResult r = co_await std::move(task);
@@ -87,13 +99,7 @@
         // Without an answer it may be carried out at any time: it then does what the next pass would do, and
         // the conditions leave only one of them.
         if (r.outcome != Commit::done) co_return false;
-        for (std::size_t i = first; i < next; ++i) {
-            for (auto& effect : steps[i].effects) {
-                effect.stamp = r.revision;
-                replica_.committed(effect);
-            }
-            if (steps[i].final_state) finals_.note(steps[i].job, *steps[i].final_state);
-        }
+        for (std::size_t i = first; i < next; ++i) carried_out(steps[i], r.revision);
         node_.work.notify_all();
         node_.fleet_work.notify_all();
     }
@@ -124,7 +130,8 @@
     bool ok = true;
     bool news = false;
     if (!releases.empty()) {
-        auto task = commit(std::move(releases), releases.size());
+        const std::size_t groups = releases.size();
+        auto task = commit(std::move(releases), groups);
         ok = co_await std::move(task);
     }
     if (ok && !plan.unknown_endings.empty()) {
--- a/src/service/dependencies.hpp
+++ b/src/service/dependencies.hpp
@@ -31,6 +31,9 @@
     io::Task<bool> read_endings(std::vector<std::string> jobs);
     Step release(const core::JobEntry& entry) const;
     static Step cancel(const core::JobEntry& entry);
+    // The next group commit of as many steps as it takes.
+    wire::Transaction next_group(const std::vector<Step>& steps, std::size_t& next) const;
+    void carried_out(Step& step, core::Stamp revision);
     // Group commits, at most `groups` of them. False when one was not carried out.
     io::Task<bool> commit(std::vector<Step> steps, std::size_t groups);
     // Lists of jobs that do not wait any more. Leader only.
--- a/src/service/waiting_jobs.cpp
+++ b/src/service/waiting_jobs.cpp
@@ -12,8 +12,8 @@
 namespace {
 constexpr int kRoundsOfReading = 3;
 // Of what a transaction may hold, in the JSON form.
-constexpr std::size_t kTransactionBytes = 48 * 1024;
-constexpr std::size_t kPartBytes = 16 * 1024;
+constexpr std::size_t kTransactionBytes = 48U << 10U;
+constexpr std::size_t kPartBytes = 16U << 10U;
 
 std::size_t json_bytes(const wire::Json& value) { return value.dump().size(); }
 
