--- a/src/service/final_states.hpp
+++ b/src/service/final_states.hpp
@@ -17,11 +17,12 @@
 
 class FinalStates {
   public:
-    // Keeps the latest kMost of them.
+    // Keeps the latest `most` of them.
+    explicit FinalStates(std::size_t most) : most_(most) {}
     void insert(const std::string& job, FinalState state) {
         if (!states_.emplace(job, state).second) return;
         order_.push_back(job);
-        if (order_.size() <= kMost) return;
+        if (order_.size() <= most_) return;
         states_.erase(order_.front());
         order_.pop_front();
     }
@@ -32,7 +33,7 @@
     }
 
   private:
-    static constexpr std::size_t kMost = 4000;
+    std::size_t most_;
     std::unordered_map<std::string, FinalState> states_;
     std::list<std::string> order_;
 };
--- a/src/service/replica.hpp
+++ b/src/service/replica.hpp
@@ -14,13 +14,16 @@
 inline std::string page(const core::AttemptPageKey& p) {
     return "h/run/" + p.first + "/" + std::to_string(p.second);
 }
+inline std::string await_part(const std::string& job, const std::string& list, std::uint32_t part) {
+    return "h/awaits/" + job + "/" + list + "/" + std::to_string(part);
+}
 constexpr const char* kDraining = "h/draining";
 inline std::string final(const std::string& id) { return "f/" + id; }
 }  // namespace keys
 
 class Replica {
   public:
-    explicit Replica(Node& n) : node_(n), read_done_(n.loop) {}
+    explicit Replica(Node& n);
     io::Task<void> run();
     // Read index: true once the copy holds all that was committed before the call.
     io::Task<bool> caught_up(io::Micros deadline);
