Keep to the smaller of state and state.next, and split pages that are too large

Cause: the state service lowers its limits after the upgrade, without notice. A stored page of attempts larger than the new limit could never be rewritten: every group commit that named it was refused, and with it all that came behind. One page's record could also compare more keys than a transaction of few writes may.

Change: settings take the smaller limits from the start.

Ruled out: moving chunks in several transactions, copies first: production's reader drops the copies when it sees the old page go.

--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -242,6 +242,19 @@
 Task<bool> Leader::mark(std::set<std::string> machines) {
     // One record for all marks: with one for each machine, giving back hundreds would use up the store's
     // writes.
+    // Written under larger limits there may be more marks than fit now. Those of machines that are gone leave
+    // first; a machine without its mark is used again.
+    std::size_t bytes = wire::names_record(machines).dump().size();
+    for (const bool standing : {false, true}) {
+        for (auto it = machines.begin(); it != machines.end() && bytes > node_.settings.value_limit();) {
+            if ((node_.picture.find(*it) != nullptr) != standing) {
+                ++it;
+                continue;
+            }
+            bytes -= it->size() + 3;
+            it = machines.erase(it);
+        }
+    }
     wire::Transaction t;
     t.conditions.emplace_back(keys::kEpoch, node_.epoch.stamp);
     t.conditions.emplace_back(keys::kDraining, node_.draining_stamp);
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "service/attempt_page_split.hpp"
+
 namespace hatchwind::service {
 
 using core::ExitCause;
@@ -25,7 +27,11 @@
 constexpr double kReadBytes = 2.4e6;
 constexpr std::size_t kLeastPageBytes = 5 * 1024;
 
-std::size_t page_bytes(const Settings& s) {
+constexpr Micros kRefusedGroup{10'000'000};  // how long units go one by one after a group was refused
+constexpr Micros kRefusedUnit{2'000'000};    // how long a unit waits that was refused by itself
+
+// What a page is filled up to, for writes and reads to cost little.
+std::size_t affordable_page_bytes(const Settings& s) {
     const auto affordable = static_cast<std::size_t>(kReadBytes * s.cpu_share / s.state_write_rps);
     return std::min(std::max(affordable, kLeastPageBytes), s.value_bytes());
 }
@@ -360,7 +366,9 @@
         const std::uint32_t done = c == e.chunks.end() ? 0 : c->second.done.size();
         return 90 + e.job.id.size() + (tasks - done) * (name + 20) + done * 10;
     };
-    const std::size_t room = page_bytes(node_.settings);
+    const std::size_t room = affordable_page_bytes(node_.settings);
+    // A transaction compares four keys for each that it writes: the epoch, the pages, and the rest for jobs.
+    const std::size_t most_conditions = 3 * node_.settings.txn_ops - 1;
     std::map<core::AttemptPageKey, std::size_t> load;
     for (const auto& [key, page] : node_.ledger.pages()) {
         if (!node_.owns(key.first)) continue;
@@ -421,6 +429,7 @@
             const bool production = e.job.priority == core::Priority::production;
             int rank = 0;
             if (!r.started.empty()) {
+                if (u.conditions.size() >= most_conditions) continue;  // the next pass takes it
                 rank = production ? 0 : 2;
                 // A cancel that comes first must keep the start from being recorded; and so must the job's
                 // end.
@@ -440,14 +449,36 @@
         }
         for (const auto& [key, c] : content)
             u.bytes += 60 + key.first.size() + c->open.size() * (name + 14) + c->done.ranges().size() * 8;
-        u.effects.push_back({keys::page(page), wire::page_record(content), 0});
+        write_page(u, page, content, load);
         out.push_back(std::move(u));
     }
     std::stable_sort(out.begin(), out.end(), [](const Unit& a, const Unit& b) { return a.rank < b.rank; });
     return out;
 }
 
+void Owner::write_page(Unit& u, const core::AttemptPageKey& page, const PageContent& content,
+                       std::map<core::AttemptPageKey, std::size_t>& load) {
+    const std::size_t limit = node_.settings.value_limit();
+    if (u.bytes <= limit || page_bytes(content) <= limit) {
+        u.effects.push_back({keys::page(page), wire::page_record(content), 0});
+        return;
+    }
+    const auto parts = split_page(content, limit, node_.settings.txn_ops);
+    spdlog::info("event=page_split page={} bytes={} parts={}", keys::page(page), page_bytes(content),
+                 parts.size());
+    u.effects.push_back({keys::page(page), wire::page_record(parts.front()), 0});
+    core::AttemptPageKey fresh{page.first, 1};
+    for (std::size_t i = 1; i < parts.size(); ++i) {
+        while (load.contains(fresh) || node_.ledger.pages().contains(fresh)) ++fresh.second;
+        load[fresh] = page_bytes(parts[i]);
+        u.conditions.emplace_back(keys::page(fresh), 0);
+        u.effects.push_back({keys::page(fresh), wire::page_record(parts[i]), 0});
+    }
+}
+
 Task<bool> Owner::commit(std::vector<Unit> all) {
+    std::erase_if(refused_, [now = steady_now()](const auto& r) { return r.second <= now; });
+    std::erase_if(all, [&](const Unit& u) { return refused_.contains(u.effects.front().key); });
     const std::size_t most = node_.settings.txn_ops;
     std::size_t next = 0;
     while (next < all.size()) {
@@ -460,8 +491,8 @@
             Unit& u = all[next];
             const std::size_t writes = u.effects.size() + u.extra.size();
             if (next != first &&
-                (t.writes.size() + writes > most || t.conditions.size() + u.conditions.size() > 4 * most ||
-                 bytes + u.bytes > kTxnBytes)) {
+                (steady_now() < single_units_until_ || t.writes.size() + writes > most ||
+                 t.conditions.size() + u.conditions.size() > 4 * most || bytes + u.bytes > kTxnBytes)) {
                 break;
             }
             t.conditions.insert(t.conditions.end(), u.conditions.begin(), u.conditions.end());
@@ -487,6 +518,17 @@
         carried_out(group, r.revision);
         co_return true;
     }
+    if (r.outcome == Commit::refused) {
+        // Over a limit that is lower than known. One unit too large must not hold up the others.
+        in_doubt_.reset();
+        const Micros now = steady_now();
+        if (group.units.size() > 1) {
+            single_units_until_ = now + kRefusedGroup;
+        } else {
+            refused_[group.units.front().effects.front().key] = now + kRefusedUnit;
+        }
+        co_return false;
+    }
     if (r.outcome == Commit::conflict) {
         in_doubt_.reset();
         auto reach =
@@ -663,7 +705,8 @@
         std::vector<wire::StoreItem> effects;
         t.conditions.emplace_back(keys::kEpoch, node_.epoch.stamp);
         for (const auto& [key, page] : node_.ledger.pages()) {
-            if (!node_.owns(key.first) || t.writes.size() >= 3) continue;
+            if (!node_.owns(key.first) || t.writes.size() >= std::min<std::size_t>(3, node_.settings.txn_ops))
+                continue;
             const bool used = std::any_of(page.chunks.begin(), page.chunks.end(), [&](const auto& c) {
                 return node_.ledger.find(c.first) != nullptr;
             });
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -75,6 +75,11 @@
     // Returns how many jobs were left for another pass.
     std::size_t place(Staged& s, std::size_t records);
     std::vector<Unit> units(Staged& s);
+    // The write of a page; in parts if it is larger than the store takes by now. `load` names the pages that
+    // exist or will.
+    void write_page(Unit& u, const core::AttemptPageKey& page,
+                    const std::map<core::ChunkKey, const core::Chunk*>& content,
+                    std::map<core::AttemptPageKey, std::size_t>& load);
     // A group commit as it was sent.
     struct Group {
         wire::Transaction transaction;
@@ -114,6 +119,9 @@
     // Sent without an answer, so it may be carried out at any later time. Until it is, or is refuted, nothing
     // else is planned: a plan without it could start its tasks a second time, or others beyond the limit.
     std::optional<Group> in_doubt_;
+    // Until when units are left out that the store refused by themselves, by their first key.
+    std::map<std::string, io::Micros> refused_;
+    io::Micros single_units_until_{0};  // a group was refused: until then each unit goes by itself
     std::map<ChunkKey, io::Micros> waiting_since_;  // ends that wait for company
     io::Micros last_pass_{0};
     std::map<std::tuple<std::string, std::string, std::uint32_t, std::uint64_t>, std::uint64_t> strays_;
--- a/src/service/settings.cpp
+++ b/src/service/settings.cpp
@@ -75,6 +75,21 @@
 
 constexpr double kBig = 1e9;
 
+// The end of a job takes two writes in one transaction.
+constexpr std::size_t kLeastTransaction = 2;
+
+void lower_limits(Settings& settings, const Node& next) {
+    const auto lower = [&](const char* key, double& limit, double least) {
+        if (next.has(key)) limit = std::min(limit, next.at(key).number(least, kBig));
+    };
+    lower("rps", settings.state_rps, 1);
+    lower("write_rps", settings.state_write_rps, 1);
+    lower("value_kb", settings.value_kb, 1);
+    if (next.has("txn_ops")) {
+        settings.txn_ops = std::min(settings.txn_ops, next.at("txn_ops").whole(kLeastTransaction, 100000));
+    }
+}
+
 std::string trim(std::string_view s) {
     const auto from = s.find_first_not_of(" \t\f\r");
     if (from == std::string_view::npos) return {};
@@ -137,6 +152,7 @@
     s.state_write_rps = st.at("write_rps").number(1, kBig);
     s.value_kb = st.at("value_kb").number(4, 1e6);
     s.txn_ops = st.at("txn_ops").whole(4, 100000);
+    if (st.has("next")) lower_limits(s, st.at("next"));
     const Node c = d.at("cloud");
     s.cloud_rps = c.at("rps").number(0.1, kBig);
     s.list_lag_s = c.at("list_lag_s").number(0, 3600);
--- a/src/service/settings.hpp
+++ b/src/service/settings.hpp
@@ -38,7 +38,11 @@
     std::vector<std::string> zones;
     std::vector<core::Objective> objectives;
     double report_s = 0, lease_s = 0, gang_wait_s = 0, gang_peer_s = 0, cancel_s = 0;
+    // The state service's limits: of those that hold now and those announced for some later moment
+    // (`state.next`), the smaller ones. The later ones come into force without notice.
     double state_rps = 0, state_write_rps = 0, value_kb = 0;
+    // The most that one value may take in JSON form.
+    std::size_t value_limit() const { return static_cast<std::size_t>(value_kb * 1024); }
     // What one value of the store surely holds.
     std::size_t value_bytes() const { return static_cast<std::size_t>(value_kb * 1024 * 0.9); }
     std::size_t txn_ops = 0;
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -270,6 +270,13 @@
         core::Job job = e->job;
         job.cancelled = true;
         job.cancelled_at = io::wall_now();
+        // Accepted under larger limits. Nothing of a cancelled job is placed any more.
+        if (wire::job_record(job).dump().size() > node_.settings.value_limit()) {
+            job.types.reset();
+            job.image.clear();
+            job.job_class.clear();
+            job.awaits.clear();
+        }
         wire::Transaction t;
         const core::Stamp stamp = e->stamp;
         t.conditions = {{keys::job(id), stamp}};
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -53,6 +53,25 @@
     EXPECT_EQ(s.txn_ops, 12U);
 }
 
+TEST(Settings, AnnouncedLimitsOfTheStateServiceCountFromTheStartWhereTheyAreLower) {
+    json v = settings();
+    v["deployment"]["state"]["next"] = {
+        {"rps", 500.0}, {"write_rps", 20.0}, {"value_kb", 2.0}, {"txn_ops", 3}, {"more", 1}};
+    const auto lowered = service::parse_settings(v.dump());
+    EXPECT_EQ(lowered.state_rps, 100.0);
+    EXPECT_EQ(lowered.state_write_rps, 20.0);
+    EXPECT_EQ(lowered.value_limit(), 2048U);
+    EXPECT_EQ(lowered.txn_ops, 3U);
+    v["deployment"]["state"]["next"] = {{"write_rps", 80.0}};
+    const auto raised = service::parse_settings(v.dump());
+    EXPECT_EQ(raised.state_write_rps, 50.0);
+    EXPECT_EQ(raised.txn_ops, 12U);
+    v["deployment"]["state"]["next"] = nullptr;
+    EXPECT_EQ(service::parse_settings(v.dump()).txn_ops, 12U);
+    v["deployment"]["state"]["next"] = {{"txn_ops", 1}};
+    EXPECT_NE(failure(v).find("deployment.state.next.txn_ops: found 1"), std::string::npos);
+}
+
 TEST(Settings, NamesTheFieldThatIsWrong) {
     json v = settings();
     v["deployment"]["workers"].erase("lease_s");
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -134,6 +134,10 @@
     io::Micros list_latency{0};                   // likewise a page of keys
     bool hold_watches = false;
     std::size_t writes = 0;  // puts and deletes carried out
+    // What a transaction may hold; 400 otherwise. No limits at first.
+    std::size_t value_bytes_limit = SIZE_MAX;
+    std::size_t transaction_limit = SIZE_MAX;
+    std::vector<std::string> oversized;  // what was refused for its size, in words
     std::size_t conflicts = 0;
 
     // A copy of an old request arrives.
@@ -239,8 +243,23 @@
         }
         co_return reply(400);
     }
+    std::string exceeds_limits(const Json& t) const {
+        if (t["writes"].size() > transaction_limit)
+            return std::to_string(t["writes"].size()) + " writes: " + t["writes"].dump();
+        if (t["when"].size() / 4 >= transaction_limit && t["when"].size() > 4 * transaction_limit)
+            return std::to_string(t["when"].size()) + " conditions";
+        for (const auto& w : t["writes"]) {
+            if (w.contains("write") && w["v"].dump().size() > value_bytes_limit)
+                return std::to_string(w["v"].dump().size()) + " bytes: " + w["write"].get<std::string>();
+        }
+        return "";
+    }
     io::HttpResponse commit(const Json& t) {
         if (on_commit) on_commit(t);
+        if (const std::string reason = exceeds_limits(t); !reason.empty()) {
+            oversized.push_back(reason);
+            return reply(400, {{"error", reason}});
+        }
         Json failed = Json::array();
         for (const auto& c : t["when"]) {
             const auto it = items.find(c["path"]);
