--- a/src/service/attempt_page_writer.cpp
+++ b/src/service/attempt_page_writer.cpp
@@ -1,5 +1,7 @@
 #include "service/attempt_page_writer.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -17,6 +19,7 @@
 constexpr std::size_t kChunkBytes = 60;
 constexpr std::size_t kAttemptBytes = 14;  // beside the machine's name
 constexpr std::size_t kRangeBytes = 8;
+constexpr std::size_t kConditionsOfJobsPerWrite = 3;
 
 template <typename T>
 void append(std::vector<T>& to, const std::vector<T>& from) {
@@ -36,8 +39,11 @@
     for (const auto& job : staged.finished) units.push_back(finish_unit(job, staged));
     std::erase_if(waiting_since_, [&](const auto& chunk) { return !staged.chunks.contains(chunk.first); });
     if (staged.chunks.empty()) return units;
-    for (const auto& [page, chunks] : assign_pages(node_, staged, ending))
-        units.push_back(page_unit(page, chunks, staged, ending, now));
+    const auto assigned = assign_pages(node_, staged, ending);
+    PageKeys taken;
+    for (const auto& [page, chunks] : assigned) taken.insert(page);
+    for (const auto& [page, chunks] : assigned)
+        units.push_back(page_unit(page, chunks, staged, ending, now, taken));
     std::stable_sort(units.begin(), units.end(),
                      [](const WriteUnit& left, const WriteUnit& right) { return left.rank < right.rank; });
     return units;
@@ -72,8 +78,7 @@
     return unit;
 }
 
-AttemptPageWriter::PageContent AttemptPageWriter::known_content(const core::AttemptPageKey& page,
-                                                                const JobSet& ending) const {
+PageContent AttemptPageWriter::known_content(const core::AttemptPageKey& page, const JobSet& ending) const {
     PageContent content;
     const auto known = node_.ledger.pages().find(page);
     if (known == node_.ledger.pages().end()) return content;
@@ -87,24 +92,49 @@
 
 WriteUnit AttemptPageWriter::page_unit(const core::AttemptPageKey& page,
                                        const std::vector<core::ChunkKey>& chunks, const StagedRecords& staged,
-                                       const JobSet& ending, Micros now) {
+                                       const JobSet& ending, Micros now, PageKeys& taken) {
     WriteUnit unit;
     unit.rank = WriteRank::lowest;
     const auto known = node_.ledger.pages().find(page);
     const core::Stamp stamp = known == node_.ledger.pages().end() ? 0 : known->second.stamp;
     unit.conditions.emplace_back(keys::page(page), stamp);
     PageContent content = known_content(page, ending);
+    // Of those that a transaction may have, some are left to the epoch and to the parts of a page that is
+    // split.
+    const std::size_t most_conditions = kConditionsOfJobsPerWrite * node_.settings.txn_ops - 1;
     for (const auto& key : chunks) {
         const ChunkRecord& record = staged.chunks.at(key);
+        // The next pass takes it.
+        if (!record.started.empty() && unit.conditions.size() >= most_conditions) continue;
         add_chunk(unit, key, record, now);
         content[key] = &record.chunk;
     }
     const std::size_t longest_name = node_.picture.longest_name();
     for (const auto& [key, chunk] : content) unit.bytes += json_bytes(key, *chunk, longest_name);
-    unit.effects.push_back({keys::page(page), wire::page_record(content), 0});
+    add_page(unit, page, content, taken);
     return unit;
 }
 
+void AttemptPageWriter::add_page(WriteUnit& unit, const core::AttemptPageKey& page,
+                                 const PageContent& content, PageKeys& taken) const {
+    const std::size_t limit = node_.settings.value_limit();
+    if (unit.bytes <= limit || page_bytes(content) <= limit) {
+        unit.effects.push_back({keys::page(page), wire::page_record(content), 0});
+        return;
+    }
+    const auto parts = split_page(content, limit, node_.settings.txn_ops);
+    spdlog::info("event=page_split page={} bytes={} parts={}", keys::page(page), page_bytes(content),
+                 parts.size());
+    unit.effects.push_back({keys::page(page), wire::page_record(parts.front()), 0});
+    core::AttemptPageKey fresh{page.first, 1};
+    for (std::size_t i = 1; i < parts.size(); ++i) {
+        while (taken.contains(fresh) || node_.ledger.pages().contains(fresh)) ++fresh.second;
+        taken.insert(fresh);
+        unit.conditions.emplace_back(keys::page(fresh), 0);
+        unit.effects.push_back({keys::page(fresh), wire::page_record(parts[i]), 0});
+    }
+}
+
 void AttemptPageWriter::add_chunk(WriteUnit& unit, const core::ChunkKey& key, const ChunkRecord& record,
                                   Micros now) {
     const core::JobEntry& entry = *node_.ledger.find(key.first);
--- a/src/service/attempt_page_writer.hpp
+++ b/src/service/attempt_page_writer.hpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "service/attempt_page_split.hpp"
 #include "service/node.hpp"
 #include "service/staged_records.hpp"
 #include "service/write_unit.hpp"
@@ -24,11 +25,15 @@
 
   private:
     using JobSet = std::set<std::string>;
-    using PageContent = std::map<core::ChunkKey, const core::Chunk*>;
+    using PageKeys = std::set<core::AttemptPageKey>;
 
     WriteUnit finish_unit(const std::string& job, StagedRecords& staged) const;
     WriteUnit page_unit(const core::AttemptPageKey& page, const std::vector<core::ChunkKey>& chunks,
-                        const StagedRecords& staged, const JobSet& ending, io::Micros now);
+                        const StagedRecords& staged, const JobSet& ending, io::Micros now, PageKeys& taken);
+    // The write of a page; in parts if it is larger than the state service takes by now. `taken`: pages that
+    // are written in this pass.
+    void add_page(WriteUnit& unit, const core::AttemptPageKey& page, const PageContent& content,
+                  PageKeys& taken) const;
     // What the page has now, the jobs apart that end.
     PageContent known_content(const core::AttemptPageKey& page, const JobSet& ending) const;
     void add_chunk(WriteUnit& unit, const core::ChunkKey& key, const ChunkRecord& record, io::Micros now);
--- a/src/service/drain_marks.cpp
+++ b/src/service/drain_marks.cpp
@@ -9,9 +9,28 @@
 
 namespace {
 constexpr Micros kCommitTime{2'000'000};
+constexpr std::size_t kNameFrameBytes = 3;  // quotes and comma
 }  // namespace
 
+// Written under larger limits there may be more marks than fit now. Those of machines that are gone leave
+// first; a machine without its mark is used again.
+void DrainMarks::fit_value_limit(std::set<std::string>& machines) const {
+    std::size_t bytes = wire::names_record(machines).dump().size();
+    for (const bool standing : {false, true}) {
+        for (auto machine = machines.begin();
+             machine != machines.end() && bytes > node_.settings.value_limit();) {
+            if ((node_.picture.find(*machine) != nullptr) != standing) {
+                ++machine;
+                continue;
+            }
+            bytes -= machine->size() + kNameFrameBytes;
+            machine = machines.erase(machine);
+        }
+    }
+}
+
 Task<bool> DrainMarks::write(std::set<std::string> machines) {
+    fit_value_limit(machines);
     // One record for all marks: with one for each machine, giving back hundreds would use up the store's
     // writes.
     wire::Transaction transaction;
--- a/src/service/drain_marks.hpp
+++ b/src/service/drain_marks.hpp
@@ -17,6 +17,8 @@
     io::Task<bool> write(std::set<std::string> machines);
 
   private:
+    // Drops marks that one value cannot hold.
+    void fit_value_limit(std::set<std::string>& machines) const;
     Node& node_;
     Replica& replica_;
 };
--- a/src/service/group_commit.cpp
+++ b/src/service/group_commit.cpp
@@ -19,6 +19,8 @@
 constexpr Micros kConflictTime{2'000'000};
 constexpr Micros kEraseTime{1'000'000};
 constexpr std::size_t kErasedTogether = 3;
+constexpr Micros kRefusedGroup{10'000'000};  // how long units go one by one after a group was refused
+constexpr Micros kRefusedUnit{2'000'000};    // how long a unit waits that was refused by itself
 }  // namespace
 
 std::size_t GroupCommit::fitting(std::span<const WriteUnit> units) const {
@@ -34,7 +36,7 @@
         bytes += unit.bytes;
         const bool too_much =
             writes > most_writes || conditions > most_conditions || bytes > kTransactionBytes;
-        if (count != 0 && too_much) break;
+        if (count != 0 && (too_much || steady_now() < single_units_until_)) break;
         ++count;
     }
     return count;
@@ -53,6 +55,9 @@
 }
 
 Task<bool> GroupCommit::write(std::vector<WriteUnit> units) {
+    std::erase_if(refused_until_, [now = steady_now()](const auto& unit) { return unit.second <= now; });
+    std::erase_if(units,
+                  [&](const WriteUnit& unit) { return refused_until_.contains(unit.effects.front().key); });
     std::span<WriteUnit> left{units};
     while (!left.empty()) {
         const std::size_t count = fitting(left);
@@ -67,6 +72,15 @@
     co_return true;
 }
 
+void GroupCommit::note_refused(const Group& group) {
+    const Micros now = steady_now();
+    if (group.units.size() > 1) {
+        single_units_until_ = now + kRefusedGroup;
+    } else {
+        refused_until_[group.units.front().effects.front().key] = now + kRefusedUnit;
+    }
+}
+
 bool GroupCommit::in_doubt() {
     // No copy of a transaction of an earlier epoch can be carried out any more.
     if (in_doubt_ && in_doubt_->epoch() != node_.epoch.stamp) in_doubt_.reset();
@@ -88,6 +102,11 @@
         committed(group, result.revision);
         co_return true;
     }
+    if (result.outcome == Commit::refused) {
+        in_doubt_.reset();
+        note_refused(group);
+        co_return false;
+    }
     if (result.outcome == Commit::conflict) {
         in_doubt_.reset();
         auto reach =
@@ -150,7 +169,7 @@
     std::vector<wire::StoreItem> effects;
     transaction.conditions.emplace_back(keys::kEpoch, node_.epoch.stamp);
     for (const auto& [key, page] : node_.ledger.pages()) {
-        if (transaction.writes.size() >= kErasedTogether) break;
+        if (transaction.writes.size() >= std::min(kErasedTogether, node_.settings.txn_ops)) break;
         if (!node_.owns(key.first) || !unused(page)) continue;
         transaction.conditions.emplace_back(keys::page(key), page.stamp);
         transaction.writes.push_back({keys::page(key), std::nullopt, 0});
--- a/src/service/group_commit.hpp
+++ b/src/service/group_commit.hpp
@@ -2,6 +2,7 @@
 // committed.
 #pragma once
 
+#include <map>
 #include <optional>
 #include <span>
 #include <vector>
@@ -31,15 +32,17 @@
     io::Task<void> erase_unused_pages();
 
   private:
-    // As many units from the front as go into one transaction.
-    std::size_t fitting(std::span<const WriteUnit> units) const;
-    wire::Transaction transaction(std::span<const WriteUnit> units) const;
     // A group commit as it was sent.
     struct Group {
         wire::Transaction transaction;
         std::vector<WriteUnit> units;
         core::Stamp epoch() const { return transaction.conditions.front().second; }
     };
+    // As many units from the front as go into one transaction.
+    std::size_t fitting(std::span<const WriteUnit> units) const;
+    // Over a limit that is lower than known. One unit too large must not hold up the others.
+    void note_refused(const Group& group);
+    wire::Transaction transaction(std::span<const WriteUnit> units) const;
     io::Task<bool> send(Group group);
     void committed(Group& group, core::Stamp revision);
     void committed(WriteUnit& unit, core::Stamp revision, core::Stamp epoch);
@@ -52,6 +55,9 @@
     AttemptPageWriter& pages_;
     OrderDispatch& dispatch_;
     std::optional<Group> in_doubt_;
+    // Until when units are left out that the store refused by themselves, by their first key; steady.
+    std::map<std::string, io::Micros> refused_until_;
+    io::Micros single_units_until_{0};  // a group was refused: until then each unit goes by itself
 };
 
 }  // namespace hatchwind::service
--- a/src/service/placement_round.cpp
+++ b/src/service/placement_round.cpp
@@ -69,8 +69,7 @@
     core::PlacementInput input = gather_input(most_records);
     if (!anything_to_start(input)) return 0;
     input.job_backoff = failures_.job_backoff();
-    const auto pipelines =
-        core::PipelineSchedule::build(node_.ledger, node_.settings.objectives, input.wall);
+    const auto pipelines = core::PipelineSchedule::build(node_.ledger, node_.settings.objectives, input.wall);
     input.pipelines = &pipelines;
     core::FreeCapacity capacity = free_capacity(input.now);
     add_holds(input);
--- a/src/service/renting.cpp
+++ b/src/service/renting.cpp
@@ -51,8 +51,7 @@
 Task<void> Renting::round() {
     const Micros now = steady_now();
     core::FleetInput input = fleet_input(now);
-    const auto pipelines =
-        core::PipelineSchedule::build(node_.ledger, node_.settings.objectives, input.wall);
+    const auto pipelines = core::PipelineSchedule::build(node_.ledger, node_.settings.objectives, input.wall);
     input.pipelines = &pipelines;
     const auto wanted =
         core::plan_rentals(fleet_settings(), input,
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -290,6 +290,12 @@
         // What a waiting job needed does not matter any more.
         job.awaits.clear();
         job.await_parts = 0;
+        // Accepted under larger limits. Nothing of a cancelled job is placed any more.
+        if (wire::job_record(job).dump().size() > node_.settings.value_limit()) {
+            job.types.reset();
+            job.image.clear();
+            job.job_class.clear();
+        }
         wire::Transaction t;
         const core::Stamp stamp = e->stamp;
         t.conditions = {{keys::job(id), stamp}};
