--- a/src/emulator/checker.hpp
+++ b/src/emulator/checker.hpp
@@ -124,6 +124,9 @@
     // Time (checker_service.cpp).
     void check_cancelled(Micros now);
     void check_waiting(Micros now);
+    bool within_limit(const JobSpec& spec, std::uint32_t tasks) const;
+    // Type, zone and kind of machine, and the zone of the job's other tasks.
+    static bool allowed_on(const JobRecord& job, const MachineRecord& machine);
     bool could_place(const JobRecord& job) const;
     void judge_group(const std::string& name, const std::vector<const JobRecord*>& jobs, Micros end);
 
--- a/src/emulator/checker_answers.cpp
+++ b/src/emulator/checker_answers.cpp
@@ -73,10 +73,11 @@
         }
     }
     if (*event.told == JobStatus::done) {
-        if (!job.work_complete())
+        if (!job.work_complete()) {
             broken(Rule::not_done, at, event.job, std::nullopt,
                    event.job + " is called done with " + std::to_string(job.completed_count) + " of " +
                        std::to_string(job.spec.tasks) + " tasks completed");
+        }
         if (!job.done_told_at) job.done_told_at = at;
     }
 }
--- a/src/emulator/checker_service.cpp
+++ b/src/emulator/checker_service.cpp
@@ -32,37 +32,45 @@
     }
 }
 
-// One task is looked for, and for a gang every task at once, on copies of what is free.
-bool Checker::could_place(const JobRecord& job) const {
-    const JobSpec& spec = job.spec;
+bool Checker::within_limit(const JobSpec& spec, std::uint32_t tasks) const {
     const auto limit = rules_.teams.find(spec.team);
     if (limit == rules_.teams.end()) return false;
-    const std::uint32_t tasks = spec.form == JobForm::gang ? spec.tasks : 1;
-    const auto use = team_use_.find(spec.team);
     Resources wanted = spec.per_task * tasks;
+    const auto use = team_use_.find(spec.team);
     if (use != team_use_.end()) wanted += use->second;
-    if (!wanted.fits({limit->second.cores, limit->second.accelerators, wanted.memory_gb})) return false;
+    return wanted.fits({limit->second.cores, limit->second.accelerators, wanted.memory_gb});
+}
+
+bool Checker::allowed_on(const JobRecord& job, const MachineRecord& machine) {
+    const JobSpec& spec = job.spec;
+    if (!machine.unusable_for.empty() || (machine.spot && !spec.spot_allowed)) return false;
+    if (spec.zone && *spec.zone != machine.zone) return false;
+    const auto& types = spec.machine_types;
+    if (types && std::find(types->begin(), types->end(), machine.type) == types->end()) return false;
+    const bool elsewhere = std::any_of(job.per_zone.begin(), job.per_zone.end(), [&](const auto& zone) {
+        return zone.second > 0 && zone.first != machine.zone;
+    });
+    return !spec.one_zone || !elsewhere;
+}
+
+// One task is looked for, and for a gang every task at once, on copies of what is free.
+bool Checker::could_place(const JobRecord& job) const {
+    const JobSpec& spec = job.spec;
+    const std::uint32_t tasks = spec.form == JobForm::gang ? spec.tasks : 1;
+    if (!within_limit(spec, tasks)) return false;
     std::map<std::string, std::uint32_t> fitting;  // by zone
     std::uint32_t placeable = 0;
     for (const auto& [id, machine] : machines_) {
-        if (!machine.unusable_for.empty() || (machine.spot && !spec.spot_allowed)) continue;
-        if (spec.zone && *spec.zone != machine.zone) continue;
-        if (spec.machine_types && std::find(spec.machine_types->begin(), spec.machine_types->end(),
-                                            machine.type) == spec.machine_types->end())
-            continue;
-        const bool elsewhere = std::any_of(job.per_zone.begin(), job.per_zone.end(), [&](const auto& zone) {
-            return zone.second > 0 && zone.first != machine.zone;
-        });
-        if (spec.one_zone && elsewhere) continue;
+        if (!allowed_on(job, machine)) continue;
         const auto there = job.per_zone.find(machine.zone);
         const std::uint32_t already = there == job.per_zone.end() ? 0 : there->second;
+        std::uint32_t& here = fitting[machine.zone];
         Resources free = machine.free;
         while (spec.per_task.fits(free) && placeable < tasks) {
-            if (spec.spread && already + fitting[machine.zone] + 1 > spread_limit(spec.tasks)) break;
+            if (spec.spread && already + here + 1 > spread_limit(spec.tasks)) break;
             free -= spec.per_task;
-            ++fitting[machine.zone];
-            if (!spec.one_zone) ++placeable;
-            if (spec.one_zone) placeable = std::max(placeable, fitting[machine.zone]);
+            ++here;
+            placeable = spec.one_zone ? std::max(placeable, here) : placeable + 1;
         }
         if (placeable >= tasks) return true;
     }
--- a/src/emulator/cloud.cpp
+++ b/src/emulator/cloud.cpp
@@ -1,8 +1,9 @@
 #include "emulator/cloud.hpp"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 #include <numbers>
 
 namespace hatchwind::emulator {
@@ -30,10 +31,8 @@
 }
 
 std::string address_text(io::Address address) {
-    char text[32];
-    std::snprintf(text, sizeof text, "%u.%u.%u.%u:%u", address.ip >> 24U, address.ip >> 16U & 0xffU,
-                  address.ip >> 8U & 0xffU, address.ip & 0xffU, unsigned{address.port});
-    return text;
+    return fmt::format("{}.{}.{}.{}:{}", address.ip >> 24U, address.ip >> 16U & 0xffU,
+                       address.ip >> 8U & 0xffU, address.ip & 0xffU, address.port);
 }
 }  // namespace
 
@@ -57,8 +56,7 @@
 // --- machines ---
 
 std::string Cloud::add_machine(const MachineType& type, const std::string& zone, bool spot) {
-    char id[16];
-    std::snprintf(id, sizeof id, "n-%06u", ++last_number_);
+    const std::string id = fmt::format("n-{:06}", ++last_number_);
     Machine machine;
     machine.address = config_.address_of(last_number_);
     machine.identity = {id, address_text(machine.address), type, zone, spot};
--- a/src/emulator/connection.cpp
+++ b/src/emulator/connection.cpp
@@ -37,7 +37,7 @@
     Way& way = incoming();
     const std::size_t bytes = std::min(capacity, way.arrived.size() - way.read);
     if (bytes > 0) {
-        std::memcpy(into, way.arrived.data() + way.read, bytes);
+        std::copy_n(way.arrived.data() + way.read, bytes, into);
         way.read += bytes;
         way.outstanding -= bytes;
         if (way.read == way.arrived.size()) {
--- a/src/emulator/job_classes.cpp
+++ b/src/emulator/job_classes.cpp
@@ -1,8 +1,9 @@
 #include "emulator/job_classes.hpp"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
 #include <random>
 
 namespace hatchwind::emulator {
@@ -30,10 +31,8 @@
     : teams_(std::move(teams)), seed_(seed), random_(seed, "jobs") {}
 
 std::string JobDrawer::next_id() {
-    char id[16];
     const std::uint64_t number = (seed_ + ++drawn_ * id_step) % id_space;
-    std::snprintf(id, sizeof id, "req-%06llu", static_cast<unsigned long long>(number));
-    return id;
+    return fmt::format("req-{:06}", number);
 }
 
 // Among the teams that may run one of its tasks.
--- a/src/emulator/report.cpp
+++ b/src/emulator/report.cpp
@@ -1,9 +1,11 @@
 #include "emulator/report.hpp"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <algorithm>
+#include <array>
 #include <boost/histogram.hpp>
 #include <cmath>
-#include <cstdio>
 #include <sstream>
 
 namespace hatchwind::emulator {
@@ -16,15 +18,11 @@
 constexpr unsigned parts = 20;  // one for each power of two between them
 constexpr std::size_t bar_width = 40;
 
-std::string fixed(double value, int digits = 3) {
-    char text[32];
-    std::snprintf(text, sizeof text, "%.*f", digits, value);
-    return text;
-}
+std::string fixed(double value, int digits = 3) { return fmt::format("{:.{}f}", value, digits); }
 
 const char* request_name(RequestKind kind) {
-    constexpr const char* names[] = {"submit", "poll", "cancel"};
-    return names[static_cast<std::size_t>(kind)];
+    constexpr std::array names{"submit", "poll", "cancel"};
+    return names.at(static_cast<std::size_t>(kind));
 }
 }  // namespace
 
@@ -54,10 +52,8 @@
     for (const auto& part : boost::histogram::indexed(histogram)) {
         if (*part == 0) continue;
         const auto width = static_cast<std::size_t>(std::ceil(*part / most * static_cast<double>(bar_width)));
-        char line[64];
-        std::snprintf(line, sizeof line, "    to %9.3f s %7.0f ", part.bin().upper(),
-                      static_cast<double>(*part));
-        text << line << std::string(width, '#') << "\n";
+        text << fmt::format("    to {:9.3f} s {:7.0f} ", part.bin().upper(), static_cast<double>(*part))
+             << std::string(width, '#') << "\n";
     }
     return text.str();
 }
--- a/src/emulator/store.cpp
+++ b/src/emulator/store.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t kMostKeyBytes = 200;
 constexpr std::size_t kMostListed = 1000;
-constexpr std::size_t kMostListedBytes = 512 * 1024;
+constexpr std::size_t kMostListedBytes = std::size_t{512} * 1024;
 
 std::size_t json_bytes(const Json& value) { return value.dump().size(); }
 
