--- a/src/core/pipeline_schedule.cpp
+++ b/src/core/pipeline_schedule.cpp
@@ -36,12 +36,15 @@
         for (std::size_t i = 0; i < nodes_.size(); ++i) {
             if (nodes_[i].unfinished_needs == 0) order_.push_back(i);
         }
+        // The order grows on the way.
+        // NOLINTNEXTLINE(modernize-loop-convert)
         for (std::size_t next = 0; next < order_.size(); ++next) pass_on_start(nodes_[order_[next]]);
     }
 
     // What is asked of each job by those behind it.
     void walk_backward(const std::vector<Objective>& objectives) {
-        for (auto at = order_.rbegin(); at != order_.rend(); ++at) inherit(nodes_[*at], objectives);
+        std::for_each(order_.rbegin(), order_.rend(),
+                      [&](std::size_t node) { inherit(nodes_[node], objectives); });
     }
 
     const std::vector<Node>& nodes() const { return nodes_; }
--- a/src/emulator/job_history.cpp
+++ b/src/emulator/job_history.cpp
@@ -1,14 +1,14 @@
 #include "emulator/job_history.hpp"
 
+#include <spdlog/fmt/fmt.h>
+
 #include <cstdio>
 
 namespace hatchwind::emulator {
 
 namespace {
 std::string render(const HistoryLine& line) {
-    char time[32];
-    std::snprintf(time, sizeof time, "%11.6f s  ", to_seconds(line.at));
-    return time + line.text;
+    return fmt::format("{:11.6f} s  {}", to_seconds(line.at), line.text);
 }
 }  // namespace
 
--- a/src/emulator/load_balancer.hpp
+++ b/src/emulator/load_balancer.hpp
@@ -64,7 +64,7 @@
         Micros passed_over_until{};
     };
 
-    io::Task<void> probe(std::size_t node);
+    io::Task<void> probe(std::size_t index);
     void note_probe(Node& node, bool success, Micros now);
     void mark_unhealthy(Node& node, Micros now);
     bool usable(const Node& node, Micros now) const;
--- a/src/emulator/main.cpp
+++ b/src/emulator/main.cpp
@@ -92,6 +92,8 @@
 
 }  // namespace
 
+// The command line's set-up throws on a mistake in this file only.
+// NOLINTNEXTLINE(bugprone-exception-escape)
 int main(int count, char** values) {
     CLI::App app{
         "Plays hatchwind's controllers against simulated workers, cloud, users, state service and network"};
--- a/src/emulator/network.hpp
+++ b/src/emulator/network.hpp
@@ -80,7 +80,7 @@
     CutId cut_sides(std::function<Side(const Host&)> side_of, CutMode mode);
     CutId cut_between(const std::vector<const Host*>& one, const std::vector<const Host*>& other,
                       CutMode mode);
-    void heal(CutId cut);
+    void heal(CutId id);
     // The next `count` pieces of data from one host to the other arrive so much later, each connection's
     // pieces in order. This is how copies come late: whoever sent them has mostly given up by then.
     void delay_next(const Host& from, const Host& to, std::size_t count, io::Micros by);
--- a/src/emulator/play.cpp
+++ b/src/emulator/play.cpp
@@ -168,6 +168,7 @@
 }
 
 // By value: the name may be the key that is erased.
+// NOLINTNEXTLINE(performance-unnecessary-value-param)
 void Play::remove(std::string machine) {
     if (fleet_.erase(machine) != 0) world_.host(machine).kill(KillMode::silent);
 }
--- a/src/emulator/protocol.cpp
+++ b/src/emulator/protocol.cpp
@@ -89,7 +89,7 @@
 std::optional<JobStatus> parse_status(const Json& answer) {
     const auto text = wire::text(answer, "status");
     if (!text) return std::nullopt;
-    const auto found = std::find(status_names.begin(), status_names.end(), *text);
+    const auto* const found = std::find(status_names.begin(), status_names.end(), *text);
     if (found == status_names.end()) return std::nullopt;
     return static_cast<JobStatus>(found - status_names.begin());
 }
--- a/src/emulator/state_service.hpp
+++ b/src/emulator/state_service.hpp
@@ -67,7 +67,7 @@
     ~StateService();
 
     // The address for one client; the first call for a name opens its port.
-    io::Address address_for(const std::string& client);
+    io::Address address_for(const std::string& name);
 
     // All clients get 503 and grants keep their full time until it is over; open watches stay open.
     void set_outage(bool on);
--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -43,9 +43,9 @@
     for (auto& [label, link] : links_) scope.spawn(talk(*link));
 }
 
-bool Mesh::push(Link& link, const wire::MeshMessage& m) { return push(link, wire::encode_frame(m)); }
+bool Mesh::push(Link& link, const wire::MeshMessage& m) const { return push(link, wire::encode_frame(m)); }
 
-bool Mesh::push(Link& link, const std::string& frame) {
+bool Mesh::push(Link& link, const std::string& frame) const {
     if (!link.connected) return false;
     if (link.out.size() > static_cast<std::size_t>(node_.settings.memory_mb * 1024 * 1024) / kQueueParts) {
         // A peer that does not read: what it misses, the full picture makes good as soon as it has read the
@@ -77,7 +77,7 @@
     for (auto& [label, link] : links_) push(*link, frame);
 }
 
-void Mesh::fill(Link& link) {
+void Mesh::fill(Link& link) const {
     // What is known of images goes along, and the next heartbeat has the whole tables.
     link.missed = false;
     link.answered_until = Micros{0};
@@ -163,105 +163,124 @@
     }
 }
 
+void Mesh::take_heartbeat(const std::string& from, wire::MeshHeartbeat& heartbeat) {
+    auto& p = node_.peers[from];
+    // A held connection may deliver old tables after newer ones.
+    if (heartbeat.wall_us < p.heartbeat.wall_us) return;
+    for (const auto& [machine, at] : heartbeat.answered) {
+        if (node_.picture.released(machine)) continue;
+        auto& any = node_.answered_any[machine];
+        any = std::max(any, Micros{at});
+        node_.picture.heard(machine, Micros{at});
+    }
+    for (const auto& r : heartbeat.released) node_.note_released(r);
+    if (from == node_.epoch.leader)
+        node_.candidates = {heartbeat.candidates.begin(), heartbeat.candidates.end()};
+    for (const auto& h : heartbeat.hears) {
+        if (h == node_.self.label) links_.at(from)->confirmed = steady_now();
+    }
+    // What does not answer somebody else may not answer anyone: this node asks for itself.
+    for (const auto& machine : heartbeat.unanswered) {
+        if (node_.picture.find(machine) != nullptr) node_.suspects.try_emplace(machine);
+    }
+    node_.take_cancels(heartbeat.cancels);
+    p.heartbeat = std::move(heartbeat);
+    p.heartbeat.answered.clear();
+    p.heartbeat.released.clear();
+    p.heartbeat.cancels.clear();
+    p.received = steady_now();
+    share_writes();
+}
+
+void Mesh::take_ask(const std::string& from, const wire::MeshAsk& ask) {
+    wire::MeshPromise answer{ask.number, membership_.may_promise(), {}};
+    if (answer.given) {
+        answer.cancels = node_.cancels_after(ask.revision);
+        membership_.promised_to(from, steady_now() + Micros{static_cast<std::int64_t>(ask.life_us)});
+    }
+    push(*links_.at(from), answer);
+}
+
+void Mesh::take_hold(const wire::MeshHold& hold) {
+    if (node_.foreign_holds.size() > std::max<std::size_t>(512, node_.picture.machines().size())) return;
+    const Micros until =
+        steady_now() + std::min(Micros{static_cast<std::int64_t>(hold.for_us)}, Micros{10'000'000});
+    node_.foreign_holds[{hold.job, hold.task}] = {
+        hold.machine, {hold.cpus, hold.gpus, hold.memory_gb}, until, hold.waiting};
+}
+
 void Mesh::handle(const std::string& from, wire::MeshMessage& m) {
     if (auto* heartbeat = std::get_if<wire::MeshHeartbeat>(&m)) {
-        auto& p = node_.peers[from];
-        // A held connection may deliver old tables after newer ones.
-        if (heartbeat->wall_us < p.heartbeat.wall_us) return;
-        for (const auto& [machine, at] : heartbeat->answered) {
-            if (node_.picture.released(machine)) continue;
-            auto& any = node_.answered_any[machine];
-            any = std::max(any, Micros{at});
-            node_.picture.heard(machine, Micros{at});
-        }
-        for (const auto& r : heartbeat->released) node_.note_released(r);
-        if (from == node_.epoch.leader)
-            node_.candidates = {heartbeat->candidates.begin(), heartbeat->candidates.end()};
-        for (const auto& h : heartbeat->hears) {
-            if (h == node_.self.label) links_.at(from)->confirmed = steady_now();
-        }
-        // What does not answer somebody else may not answer anyone: this node asks for itself.
-        for (const auto& machine : heartbeat->unanswered) {
-            if (node_.picture.find(machine) != nullptr) node_.suspects.try_emplace(machine);
-        }
-        node_.take_cancels(heartbeat->cancels);
-        p.heartbeat = std::move(*heartbeat);
-        p.heartbeat.answered.clear();
-        p.heartbeat.released.clear();
-        p.heartbeat.cancels.clear();
-        p.received = steady_now();
-        share_writes();
+        take_heartbeat(from, *heartbeat);
     } else if (auto* report = std::get_if<wire::MeshReport>(&m)) {
         node_.take_forward(std::move(*report));
     } else if (const auto* alive = std::get_if<wire::MeshAlive>(&m)) {
         node_.take_alive(*alive);
-    } else if (auto* ask = std::get_if<wire::MeshAsk>(&m)) {
-        wire::MeshPromise answer{ask->number, membership_.may_promise(), {}};
-        if (answer.given) {
-            answer.cancels = node_.cancels_after(ask->revision);
-            membership_.promised_to(from, steady_now() + Micros{static_cast<std::int64_t>(ask->life_us)});
-        }
-        push(*links_.at(from), answer);
-    } else if (auto* promise = std::get_if<wire::MeshPromise>(&m)) {
+    } else if (const auto* ask = std::get_if<wire::MeshAsk>(&m)) {
+        take_ask(from, *ask);
+    } else if (const auto* promise = std::get_if<wire::MeshPromise>(&m)) {
         membership_.promise_received(from, *promise);
     } else if (const auto* cancel = std::get_if<wire::MeshCancel>(&m)) {
         node_.take_cancels(cancel->cancels);
-    } else if (auto* hold = std::get_if<wire::MeshHold>(&m)) {
-        if (node_.foreign_holds.size() > std::max<std::size_t>(512, node_.picture.machines().size())) return;
-        const Micros until =
-            steady_now() + std::min(Micros{static_cast<std::int64_t>(hold->for_us)}, Micros{10'000'000});
-        node_.foreign_holds[{hold->job, hold->task}] = {
-            hold->machine, {hold->cpus, hold->gpus, hold->memory_gb}, until, hold->waiting};
+    } else if (const auto* hold = std::get_if<wire::MeshHold>(&m)) {
+        take_hold(*hold);
     }
 }
 
+wire::MeshHeartbeat Mesh::common_heartbeat() {
+    wire::MeshHeartbeat b;
+    b.label = node_.self.label;
+    b.grant = node_.self.grant;
+    b.epoch = node_.epoch.number;
+    b.state_ok = node_.state.reachable(steady_now());
+    b.fit = node_.fit;
+    b.acting = node_.acting();
+    b.revision = node_.revision;
+    b.capabilities = core::kCapabilities;
+    b.wall_us = io::wall_now().count();
+    for (const auto& [label, link] : links_) {
+        if (node_.peer_fresh(label, steady_now())) b.hears.push_back(label);
+    }
+    b.demand = static_cast<std::uint64_t>(node_.state.demand() * 10);
+    b.workers = node_.workers_here();
+    for (const auto& [machine, suspect] : node_.suspects) {
+        if (suspect.since.count() != 0 && steady_now() - suspect.since > Micros{3'000'000} && node_.fit) {
+            b.unanswered.push_back(machine);
+        }
+    }
+    if (node_.leads()) b.candidates.assign(node_.candidates.begin(), node_.candidates.end());
+    return b;
+}
+
+void Mesh::tell(Link& link, wire::MeshHeartbeat& b, const std::vector<wire::CancelNotice>& cancels) {
+    // Repeated until the peer's replica has them: a notice may be lost with its connection.
+    b.cancels.clear();
+    const core::Stamp peer_revision = node_.peers[link.peer.label].heartbeat.revision;
+    std::copy_if(cancels.begin(), cancels.end(), std::back_inserter(b.cancels),
+                 [&](const wire::CancelNotice& notice) { return notice.revision > peer_revision; });
+    b.answered.clear();
+    b.released.clear();
+    for (const auto& [machine, at] : node_.answered_here) {
+        if (at >= link.answered_until) b.answered.emplace_back(machine, at.count());
+    }
+    const auto news =
+        std::min<std::uint64_t>(node_.released_count - link.released_told, node_.released_log.size());
+    b.released.assign(node_.released_log.end() - static_cast<std::ptrdiff_t>(news), node_.released_log.end());
+    // One that the link has no room for is lost, and the next one tells what it would have told: a
+    // peer takes a heartbeat's table for all that was answered until then, and counts leases by it.
+    if (!push(link, b)) return;
+    link.answered_until = Micros{b.wall_us};
+    link.released_told = node_.released_count;
+}
+
 Task<void> Mesh::heartbeat() {
     while (true) {
         co_await node_.loop.sleep(kHeartbeatInterval);
-        wire::MeshHeartbeat b;
-        b.label = node_.self.label;
-        b.grant = node_.self.grant;
-        b.epoch = node_.epoch.number;
-        b.state_ok = node_.state.reachable(steady_now());
-        b.fit = node_.fit;
-        b.acting = node_.acting();
-        b.revision = node_.revision;
-        b.capabilities = core::kCapabilities;
-        b.wall_us = io::wall_now().count();
-        for (const auto& [label, link] : links_) {
-            if (node_.peer_fresh(label, steady_now())) b.hears.push_back(label);
-        }
-        b.demand = static_cast<std::uint64_t>(node_.state.demand() * 10);
-        b.workers = node_.workers_here();
-        for (const auto& [machine, suspect] : node_.suspects) {
-            if (suspect.since.count() != 0 && steady_now() - suspect.since > Micros{3'000'000} && node_.fit) {
-                b.unanswered.push_back(machine);
-            }
-        }
-        if (node_.leads()) b.candidates.assign(node_.candidates.begin(), node_.candidates.end());
+        wire::MeshHeartbeat heartbeat = common_heartbeat();
         share_writes();
         const auto cancels = node_.cancels_after(0);
         for (auto& [label, link] : links_) {
-            if (!link->connected) continue;
-            // Repeated until the peer's replica has them: a notice may be lost with its connection.
-            b.cancels.clear();
-            const core::Stamp peer_revision = node_.peers[label].heartbeat.revision;
-            std::copy_if(cancels.begin(), cancels.end(), std::back_inserter(b.cancels),
-                         [&](const wire::CancelNotice& notice) { return notice.revision > peer_revision; });
-            b.answered.clear();
-            b.released.clear();
-            for (const auto& [machine, at] : node_.answered_here) {
-                if (at >= link->answered_until) b.answered.emplace_back(machine, at.count());
-            }
-            const auto news = std::min<std::uint64_t>(node_.released_count - link->released_told,
-                                                      node_.released_log.size());
-            b.released.assign(node_.released_log.end() - static_cast<std::ptrdiff_t>(news),
-                              node_.released_log.end());
-            // One that the link has no room for is lost, and the next one tells what it would have told: a
-            // peer takes a heartbeat's table for all that was answered until then, and counts leases by it.
-            if (!push(*link, b)) continue;
-            link->answered_until = Micros{b.wall_us};
-            link->released_told = node_.released_count;
+            if (link->connected) tell(*link, heartbeat, cancels);
         }
     }
 }
--- a/src/service/mesh.hpp
+++ b/src/service/mesh.hpp
@@ -34,10 +34,17 @@
     io::Task<void> talk(Link& link);
     io::Task<void> listen(io::Socket socket);
     void handle(const std::string& from, wire::MeshMessage& m);
+    void take_heartbeat(const std::string& from, wire::MeshHeartbeat& heartbeat);
+    void take_ask(const std::string& from, const wire::MeshAsk& ask);
+    void take_hold(const wire::MeshHold& hold);
+    // What a heartbeat says to all peers alike.
+    wire::MeshHeartbeat common_heartbeat();
+    // Adds what this peer has not been told yet, and sends it.
+    void tell(Link& link, wire::MeshHeartbeat& b, const std::vector<wire::CancelNotice>& cancels);
     // False when the link has no room for it, or no connection.
-    bool push(Link& link, const wire::MeshMessage& m);
-    bool push(Link& link, const std::string& frame);
-    void fill(Link& link);
+    bool push(Link& link, const wire::MeshMessage& m) const;
+    bool push(Link& link, const std::string& frame) const;
+    void fill(Link& link) const;
     void share_writes();
     static wire::MeshReport describe(const core::MachineView& v, io::Micros heard);
 
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -15,7 +15,7 @@
 
 constexpr std::size_t kSubmitting = 64;
 constexpr std::size_t kPolling = 256;
-constexpr std::size_t kJsonLimit = 64 * 1024;
+constexpr std::size_t kJsonLimit = std::size_t{64} * 1024;
 
 HttpResponse plain(int status) {
     HttpResponse r;
@@ -81,7 +81,7 @@
     return with_body(status, wire::job_answer(e.job.id, s, e.done, running));
 }
 
-HttpResponse UsersApi::confirm_cancel(const std::string& id) {
+HttpResponse UsersApi::confirm_cancel(const std::string& id) const {
     const core::JobEntry* entry = node_.ledger.find(id);
     if (entry != nullptr && entry->job.cancelled && node_.announce_cancel) {
         node_.announce_cancel({{{id, entry->stamp, entry->job.cancelled_at.count()}}});
@@ -150,6 +150,8 @@
     co_return found == Lookup::absent ? refusal : retry_later();
 }
 
+// Not split yet: one check after the other, each with its answer.
+// NOLINTNEXTLINE(readability-function-cognitive-complexity)
 Task<HttpResponse> UsersApi::submit(io::HttpRequest request) {
     if (request.body_too_large) co_return plain(400);
     if (submitting_ >= kSubmitting) co_return retry_later(429);
@@ -258,6 +260,8 @@
     co_return found == Lookup::absent ? plain(404) : answer;
 }
 
+// Not split yet: likewise.
+// NOLINTNEXTLINE(readability-function-cognitive-complexity)
 Task<HttpResponse> UsersApi::cancel(std::string id) {
     if (!wire::is_job_id(id)) co_return plain(404);
     if (const FinalState* ended = finals_.known(id))
--- a/src/service/users_api.hpp
+++ b/src/service/users_api.hpp
@@ -22,7 +22,7 @@
   private:
     // The answer that a job is cancelled. The other nodes are told first: one of them may keep the job's
     // tasks alive without sight of the state service.
-    io::HttpResponse confirm_cancel(const std::string& id);
+    io::HttpResponse confirm_cancel(const std::string& id) const;
     // The state of an unfinished job from the replica, which must be as new as the question; `absent` when
     // the replica has no such job.
     io::Task<Lookup> describe_unfinished(std::string id, io::HttpResponse& answer, io::Micros deadline);
