--- a/src/emulator/cloud.cpp
+++ b/src/emulator/cloud.cpp
@@ -56,7 +56,7 @@
 // --- machines ---
 
 std::string Cloud::add_machine(const MachineType& type, const std::string& zone, bool spot) {
-    const std::string id = fmt::format("n-{:06}", ++last_number_);
+    std::string id = fmt::format("n-{:06}", ++last_number_);
     Machine machine;
     machine.address = config_.address_of(last_number_);
     machine.identity = {id, address_text(machine.address), type, zone, spot};
