One piece for what a transaction committed; the pipeline schedule walks waiting jobs only

Five places stamped a transaction's writes and handed them to the replica one by one: Replica::committed takes them together. The schedule of pipelines walked all jobs in each placing and renting pass, though the ledger keeps an index of those that wait.

--- a/src/core/pipeline_schedule.cpp
+++ b/src/core/pipeline_schedule.cpp
@@ -26,9 +26,7 @@
 class Graph {
   public:
     Graph(const Ledger& ledger, Micros wall) : ledger_(ledger), wall_(wall) {
-        for (const auto& [id, entry] : ledger.jobs()) {
-            if (entry.job.waiting()) add_waiting(entry);
-        }
+        for (const auto& id : ledger.waiting()) add_waiting(*ledger.find(id));
     }
 
     // When each job could be done if all goes well.
--- a/src/service/dependencies.cpp
+++ b/src/service/dependencies.cpp
@@ -76,10 +76,7 @@
 }
 
 void Dependencies::carried_out(Step& step, core::Stamp revision) {
-    for (auto& effect : step.effects) {
-        effect.stamp = revision;
-        replica_.committed(effect);
-    }
+    replica_.committed(step.effects, revision);
     if (step.final_state) finals_.note(step.job, *step.final_state);
 }
 
@@ -184,10 +181,7 @@
     auto task = node_.state.commit(std::move(t), steady_now() + kCommitDeadline);
     const CommitResult r = co_await std::move(task);
     if (r.outcome != Commit::done) co_return;
-    for (auto& effect : effects) {
-        effect.stamp = r.revision;
-        replica_.committed(effect);
-    }
+    replica_.committed(effects, r.revision);
 }
 
 Task<void> Dependencies::run() {
--- a/src/service/group_commit.cpp
+++ b/src/service/group_commit.cpp
@@ -133,10 +133,7 @@
 }
 
 void GroupCommit::committed(WriteUnit& unit, core::Stamp revision, core::Stamp epoch) {
-    for (auto& effect : unit.effects) {
-        effect.stamp = revision;
-        replica_.committed(effect);
-    }
+    replica_.committed(unit.effects, revision);
     for (const auto& [job, state] : unit.ends) replica_.final_states().insert(job, state);
     pages_.written(unit.chunks);
     for (auto& closed : unit.closed) dispatch_.end_recorded(std::move(closed));
@@ -179,10 +176,7 @@
     auto task = node_.state.commit(std::move(transaction), steady_now() + kEraseTime);
     const CommitResult result = co_await std::move(task);
     if (result.outcome != Commit::done) co_return;
-    for (auto& effect : effects) {
-        effect.stamp = result.revision;
-        replica_.committed(effect);
-    }
+    replica_.committed(effects, result.revision);
 }
 
 }  // namespace hatchwind::service
--- a/src/service/replica.cpp
+++ b/src/service/replica.cpp
@@ -141,6 +141,13 @@
     if (loading_) committed_while_loading_.push_back(item);
 }
 
+void Replica::committed(std::vector<wire::StoreItem>& items, core::Stamp revision) {
+    for (auto& item : items) {
+        item.stamp = revision;
+        committed(item);
+    }
+}
+
 Task<bool> Replica::load() {
     // Until it is whole the old copy serves: it is old, never wrong, and whoever needs more waits for its
     // revision.
--- a/src/service/replica.hpp
+++ b/src/service/replica.hpp
@@ -34,6 +34,8 @@
                                   CommitResult conflict, io::Micros deadline);
     // Takes what this node has committed itself, before the watch brings it.
     void committed(const wire::StoreItem& item);
+    // The same for all writes of one transaction.
+    void committed(std::vector<wire::StoreItem>& items, core::Stamp revision);
     // False while the copy, read anew, may lack what this node has committed itself meanwhile.
     bool has_own_commits() const { return node_.revision >= own_at_load_; }
     // How jobs ended that this node has seen end.
--- a/src/service/waiting_jobs.cpp
+++ b/src/service/waiting_jobs.cpp
@@ -167,10 +167,7 @@
         auto task = node_.state.commit(std::move(t), deadline, true);
         const CommitResult r = co_await std::move(task);
         if (r.outcome != Commit::done) co_return false;
-        for (auto& effect : effects) {
-            effect.stamp = r.revision;
-            replica_.committed(effect);
-        }
+        replica_.committed(effects, r.revision);
     }
     co_return true;
 }
