--- a/src/core/candidate_search.cpp
+++ b/src/core/candidate_search.cpp
@@ -30,7 +30,7 @@
     const auto& machines = trial_.capacity().machines();
     std::optional<CandidateScore> best;
     for (std::size_t i = 0; i < machines.size(); ++i) {
-        if (!has_room_for(entry.job, machines[i]) || !zones.allows(entry.job, machines[i].zone)) continue;
+        if (!has_capacity_for(entry.job, machines[i]) || !zones.allows(entry.job, machines[i].zone)) continue;
         if (trial_.listed_on(i, entry, task)) continue;
         const CandidateScore candidate = score(entry.job, i);
         if (!best || candidate < *best) best = candidate;
@@ -45,7 +45,7 @@
     if (without_capacity_.contains(wanted)) return candidates;
     const auto& machines = trial_.capacity().machines();
     for (std::size_t i = 0; i < machines.size(); ++i) {
-        if (has_room_for(job, machines[i])) candidates.push_back(score(job, i));
+        if (has_capacity_for(job, machines[i])) candidates.push_back(score(job, i));
     }
     std::sort(candidates.begin(), candidates.end());
     if (candidates.empty()) without_capacity_.insert(wanted);
--- a/src/core/picture.cpp
+++ b/src/core/cluster_view.cpp
@@ -1,10 +1,10 @@
-#include "core/picture.hpp"
+#include "core/cluster_view.hpp"
 
 #include <algorithm>
 
 namespace hatchwind::core {
 
-bool Picture::apply(WorkerReport r, Micros steady, Micros heard_wall, bool answer, Micros doubt_after) {
+bool ClusterView::apply(WorkerReport r, Micros steady, Micros heard_wall, bool answer, Micros doubt_after) {
     // A late report must not bring back a machine that the cloud has confirmed as gone.
     if (released_.contains(r.machine)) return false;
     auto [it, fresh] = machines_.try_emplace(r.machine);
@@ -43,8 +43,8 @@
     return true;
 }
 
-bool Picture::alive(const std::string& machine, std::uint64_t session, std::uint64_t tick,
-                    std::uint64_t token, std::uint64_t content_tick, Micros steady, Micros heard_wall) {
+bool ClusterView::alive(const std::string& machine, std::uint64_t session, std::uint64_t tick,
+                        std::uint64_t token, std::uint64_t content_tick, Micros steady, Micros heard_wall) {
     const auto it = machines_.find(machine);
     if (it == machines_.end()) return false;
     MachineView& m = it->second;
@@ -57,13 +57,13 @@
     return true;
 }
 
-void Picture::heard(const std::string& machine, Micros wall) {
+void ClusterView::heard(const std::string& machine, Micros wall) {
     const auto it = machines_.find(machine);
     if (it != machines_.end()) it->second.heard = std::max(it->second.heard, wall);
 }
 
-void Picture::note_image(const std::string& machine, const std::string& image, double gb, double cache_gb,
-                         Micros steady) {
+void ClusterView::note_image(const std::string& machine, const std::string& image, double gb, double cache_gb,
+                             Micros steady) {
     const auto it = machines_.find(machine);
     if (it == machines_.end()) return;
     auto& images = it->second.images;
@@ -79,7 +79,7 @@
     }
 }
 
-void Picture::release(const std::string& machine) {
+void ClusterView::release(const std::string& machine) {
     machines_.erase(machine);
     if (!released_.insert(machine).second) return;
     released_order_.push_back(machine);
@@ -88,23 +88,23 @@
     released_order_.pop_front();
 }
 
-void Picture::confirm(const std::string& machine) {
+void ClusterView::confirm(const std::string& machine) {
     const auto it = machines_.find(machine);
     if (it != machines_.end()) it->second.confirmed = true;
 }
 
-const MachineView* Picture::find(const std::string& machine) const {
+const MachineView* ClusterView::find(const std::string& machine) const {
     const auto it = machines_.find(machine);
     return it == machines_.end() ? nullptr : &it->second;
 }
 
-std::size_t Picture::longest_name() const {
+std::size_t ClusterView::longest_name() const {
     std::size_t most = 10;
     for (const auto& [id, m] : machines_) most = std::max(most, id.size());
     return most;
 }
 
-AttemptView view_attempt(const Picture& p, const std::string& job, std::uint32_t task, const Attempt& a) {
+AttemptView view_attempt(const ClusterView& p, const std::string& job, std::uint32_t task, const Attempt& a) {
     AttemptView v;
     if (p.released(a.machine)) {
         v.fate = Fate::gone;
--- a/src/core/picture.hpp
+++ b/src/core/cluster_view.hpp
@@ -1,4 +1,4 @@
-// The picture: this node's view of the fleet, from reports and what other nodes pass on. It may be old;
+// The cluster view: this node's view of the fleet, from reports and what other nodes pass on. It may be old;
 // nothing that must hold rests on it alone.
 #pragma once
 
@@ -23,7 +23,7 @@
     Micros changed{};                // steady: when the newest report came in
     std::uint64_t content_tick = 0;  // of the newest report that changed its session, tasks or notice
     // A report may be a late copy from a machine that is long gone, and a node that has just started cannot
-    // tell. A machine takes tasks only after it has answered a question of ours; see Picture::confirm().
+    // tell. A machine takes tasks only after it has answered a question of ours; see ClusterView::confirm().
     bool confirmed = false;
     std::optional<Micros> notice_until;  // steady: when the cloud takes it
     struct Image {
@@ -44,7 +44,7 @@
     }
 };
 
-class Picture {
+class ClusterView {
   public:
     // True when the report is news: newer (session, tick) than the known one. Anything else is a late copy or
     // a repeat, and changes nothing at all. `answer`: it came as the answer to a request, so it is no late
@@ -93,8 +93,8 @@
     ExitCause cause = ExitCause::none;
 };
 
-AttemptView view_attempt(const Picture& p, const std::string& job, std::uint32_t task, const Attempt& a);
-// The same for an attempt on a machine that is in the picture, without looking for it.
+AttemptView view_attempt(const ClusterView& p, const std::string& job, std::uint32_t task, const Attempt& a);
+// The same for an attempt on a machine that is in the cluster view, without looking for it.
 AttemptView view_attempt(const MachineView& m, const std::string& job, std::uint32_t task,
                          std::uint64_t number, std::uint64_t session);
 
--- a/src/core/drain_planner.cpp
+++ b/src/core/drain_planner.cpp
@@ -19,17 +19,17 @@
 
 class Trial {
   public:
-    Trial(const DrainInput& in, FreeCapacity& room, DrainState& state)
-        : in_(in), room_(room), state_(state) {}
+    Trial(const DrainInput& in, FreeCapacity& capacity, DrainState& state)
+        : in_(in), capacity_(capacity), state_(state) {}
 
     // Finds a home for one task. Remembered destinations first, then from the list's far end.
     bool fit(const JobEntry& e, const TaskRef& ref, const std::string& from,
              const std::set<std::string>& skip) {
         if (const auto hint = state_.destinations.find(ref); hint != state_.destinations.end()) {
-            const auto at = room_.at(hint->second);
+            const auto at = capacity_.at(hint->second);
             if (at != FreeCapacity::npos && fits(e, at, from, skip)) return take(e, ref, at);
         }
-        for (std::size_t i = room_.machines().size(); i-- > 0;) {
+        for (std::size_t i = capacity_.machines().size(); i-- > 0;) {
             if (fits(e, i, from, skip)) return take(e, ref, i);
         }
         return false;
@@ -46,14 +46,14 @@
     }
     bool takes_tasks(const std::string& machine) const { return taking_.contains(machine); }
 
-    // Trials nest by position, as the room's do. Copies of whole maps for each trial were quadratic in the
-    // fleet.
+    // Trials nest by position, as those of the free capacity do. Copies of whole maps for each trial were
+    // quadratic in the fleet.
     struct Mark {
-        std::size_t room, moves, destinations, quota;
+        std::size_t capacity, moves, destinations, quota;
     };
-    Mark mark() const { return {room_.mark(), moves_.size(), placed_.size(), quota_journal_.size()}; }
+    Mark mark() const { return {capacity_.mark(), moves_.size(), placed_.size(), quota_journal_.size()}; }
     void revert(const Mark& m) {
-        room_.revert(m.room);
+        capacity_.revert(m.capacity);
         for (; moves_.size() > m.moves; moves_.pop_back()) {
             auto& z = zone_use(*moves_.back().entry);
             if (moves_.back().added) {
@@ -81,7 +81,7 @@
     };
     ZoneUse& zone_use(const JobEntry& e) {
         const auto [it, fresh] = zones_.try_emplace(&e);
-        if (fresh) it->second = ZoneUse::of(e, room_);
+        if (fresh) it->second = ZoneUse::of(e, capacity_);
         return it->second;
     }
     int& quota_of(const JobEntry& e) {
@@ -90,13 +90,13 @@
         return it->second;
     }
     bool fits(const JobEntry& e, std::size_t at, const std::string& from, const std::set<std::string>& skip) {
-        const MachineCapacity& m = room_.machines()[at];
-        return has_room_for(e.job, m) && m.id != from && !skip.contains(m.id) &&
+        const MachineCapacity& m = capacity_.machines()[at];
+        return has_capacity_for(e.job, m) && m.id != from && !skip.contains(m.id) &&
                ((!e.job.spread && !e.job.one_zone) || zone_use(e).allows(e.job, m.zone));
     }
     bool take(const JobEntry& e, const TaskRef& ref, std::size_t at) {
-        const MachineCapacity& m = room_.machines()[at];
-        room_.take(at, e.job.need);
+        const MachineCapacity& m = capacity_.machines()[at];
+        capacity_.take(at, e.job.need);
         if (e.job.spread || e.job.one_zone) {
             zone_use(e).add(m.zone);
             moves_.push_back({&e, m.zone, true});
@@ -109,7 +109,7 @@
     }
 
     const DrainInput& in_;
-    FreeCapacity& room_;
+    FreeCapacity& capacity_;
     DrainState& state_;
     std::unordered_map<const JobEntry*, ZoneUse> zones_;
     std::unordered_map<const JobEntry*, int> quota_;
@@ -123,10 +123,11 @@
 
 // Not split yet: its steps share one trial.
 // NOLINTNEXTLINE(readability-function-cognitive-complexity)
-DrainResult plan_drains(const DrainSettings& s, const DrainInput& in, FreeCapacity room, DrainState& state) {
+DrainResult plan_drains(const DrainSettings& s, const DrainInput& in, FreeCapacity capacity,
+                        DrainState& state) {
     DrainResult out;
     std::erase_if(state.recent_stops, [&](const auto& r) { return in.now - r.second >= s.recent_stop; });
-    Trial trial{in, room, state};
+    Trial trial{in, capacity, state};
     const auto hold = [&] {
         state.candidate_since.clear();
         state.destinations = std::move(trial.destinations);
@@ -136,7 +137,7 @@
 
     // What is being drained, and what was stopped and has no new place yet, must fit first.
     for (const auto& id : in.draining) {
-        const MachineCapacity* from = room.find(id);
+        const MachineCapacity* from = capacity.find(id);
         for (const auto& [ref, held] : in.ledger->on_machine(id)) {
             const JobEntry* e = held.entry;
             if (from != nullptr) trial.leave(*e, from->zone);
@@ -156,7 +157,7 @@
     // Least used first: empty machines cost nothing to give back. Among equals the dearest, since caps and
     // stop quotas may leave the rest standing.
     std::vector<std::tuple<double, double, std::string>> eligible;
-    for (const auto& m : room.machines()) {
+    for (const auto& m : capacity.machines()) {
         if (m.view == nullptr || m.draining || in.protected_machines.contains(m.id)) continue;
         // A machine that takes nothing new may still be returned; a silent one is another duty's business.
         if (!m.usable && !m.view->notice_until && in.ledger->on_machine(m.id).empty()) continue;
@@ -165,12 +166,12 @@
                                   m.id);
     }
     std::sort(eligible.begin(), eligible.end());
-    const std::size_t standing = room.machines().size() - in.draining.size();
+    const std::size_t standing = capacity.machines().size() - in.draining.size();
     std::set<std::string> candidates;
     for (const auto& [use, price, id] : eligible) {
         if (in.out_of_time()) break;
         if (standing - candidates.size() <= s.fleet_minimum) break;
-        const MachineCapacity* from = room.find(id);
+        const MachineCapacity* from = capacity.find(id);
         const auto mark = trial.mark();
         // A machine that takes tasks in this very trial is needed.
         bool ok = !trial.takes_tasks(id);
@@ -208,7 +209,7 @@
         if (in.now - when >= s.unneeded) ripe.push_back(id);
     }
     std::stable_sort(ripe.begin(), ripe.end(), [&](const std::string& a, const std::string& b) {
-        return room.find(a)->price() > room.find(b)->price();
+        return capacity.find(a)->price() > capacity.find(b)->price();
     });
     for (const auto& id : ripe) {
         if (under_way >= s.total_cap) break;
--- a/src/core/drain_planner.hpp
+++ b/src/core/drain_planner.hpp
@@ -30,7 +30,7 @@
 
 struct DrainInput {
     const Ledger* ledger = nullptr;
-    const Picture* picture = nullptr;
+    const ClusterView* cluster_view = nullptr;
     std::set<std::string> draining;
     std::set<std::string> protected_machines;  // never candidates: gangs, or needed as they are
     Micros now{};
@@ -43,6 +43,7 @@
     bool held = false;               // stopped tasks would not all fit: no candidates in this round
 };
 
-DrainResult plan_drains(const DrainSettings& s, const DrainInput& in, FreeCapacity room, DrainState& state);
+DrainResult plan_drains(const DrainSettings& s, const DrainInput& in, FreeCapacity capacity,
+                        DrainState& state);
 
 }  // namespace hatchwind::core
--- a/src/core/failure_detection.hpp
+++ b/src/core/failure_detection.hpp
@@ -17,7 +17,8 @@
 };
 
 // How long nothing new is placed on a machine after that many errors there, each time twice as long. Below
-// the wait after which a job has to begin: a longer one left jobs waiting beside a machine with room.
+// the wait after which a job has to begin: a longer one left jobs waiting beside a machine with free
+// capacity.
 constexpr Micros machine_backoff(int errors) { return Micros{2'000'000} * (1 << std::min(errors, 5)); }
 // Likewise for a job whose tasks fail on several machines.
 constexpr Micros job_backoff(int errors) { return Micros{500'000} * (1 << std::min(errors, 6)); }
--- a/src/core/fleet_planner.cpp
+++ b/src/core/fleet_planner.cpp
@@ -15,8 +15,8 @@
 
 class Planner {
   public:
-    Planner(const FleetSettings& s, const FleetInput& in, FreeCapacity& room)
-        : settings_(s), in_(in), room_(room) {
+    Planner(const FleetSettings& s, const FleetInput& in, FreeCapacity& capacity)
+        : settings_(s), in_(in), capacity_(capacity) {
         for (const auto& b : in.booting) {
             const auto t = in.catalog->find(b.type);
             if (t == in.catalog->end()) continue;
@@ -26,24 +26,24 @@
             m.zone = b.zone;
             m.spot = b.spot;
             m.free = t->second.size;
-            room_.add(std::move(m));
+            capacity_.add(std::move(m));
         }
         for (const auto& [name, team] : *in.teams) used_[name] = in.ledger->team_use(name);
-        for (const auto& m : room_.machines()) ++in_zone_[m.zone];
+        for (const auto& m : capacity_.machines()) ++in_zone_[m.zone];
     }
 
     std::map<Pool, std::uint32_t> run() {
         std::set<std::string> teams;
         for (const auto& [name, team] : *in_.teams) teams.insert(name);
         const auto queue = queue_order(*in_.ledger, teams, *in_.objectives, in_.wall, in_.pipelines);
-        // Tasks that never end, and gangs, need room of their own now.
+        // Tasks that never end, and gangs, need capacity of their own now.
         for (const JobEntry* e : queue) {
             if (e->job.kind != JobKind::array) place_all(*e);
         }
-        // Arrays share room over time: so much as empties their backlog in the wanted time. What their
-        // running tasks will leave within that time is room for the queue too.
+        // Arrays share capacity over time: so much as empties their backlog in the wanted time. What their
+        // running tasks will leave within that time is capacity for the queue too.
         lend_running();
-        searched_.clear();  // there is room again
+        searched_.clear();  // there is capacity again
         for (const JobEntry* e : queue) {
             if (e->job.kind == JobKind::array) place_share(*e);
         }
@@ -59,16 +59,16 @@
     }
 
     bool open_for(const JobEntry& e, const ZoneUse& zones, const MachineCapacity& m) const {
-        return has_room_for(e.job, m) && zones.allows(e.job, m.zone);
+        return has_capacity_for(e.job, m) && zones.allows(e.job, m.zone);
     }
 
     // As many of n tasks as this machine takes.
     std::uint32_t fill(const JobEntry& e, ZoneUse& zones, std::size_t i, std::uint32_t n) {
         std::uint32_t taken = 0;
-        while (taken < n && within_limit(e.job) && open_for(e, zones, room_.machines()[i])) {
-            room_.take(i, e.job.need);
+        while (taken < n && within_limit(e.job) && open_for(e, zones, capacity_.machines()[i])) {
+            capacity_.take(i, e.job.need);
             used_[e.job.team] += e.job.need;
-            zones.add(room_.machines()[i].zone);
+            zones.add(capacity_.machines()[i].zone);
             ++taken;
         }
         return taken;
@@ -81,7 +81,7 @@
         std::size_t& from = searched_[shape(e.job)];
         const bool zoned = e.job.spread || e.job.one_zone;
         std::size_t i = from;
-        for (; i < room_.machines().size() && got < n; ++i) {
+        for (; i < capacity_.machines().size() && got < n; ++i) {
             got += fill(e, zones, i, n - got);
             if (!within_limit(e.job)) return got;
         }
@@ -98,7 +98,7 @@
             m.spot = pool->spot;
             m.free = m.type->size;
             ++in_zone_[m.zone];
-            const auto at = room_.add(std::move(m));
+            const auto at = capacity_.add(std::move(m));
             const std::uint32_t taken = fill(e, zones, at, n - got);
             if (taken == 0) break;
             got += taken;
@@ -120,7 +120,7 @@
                     const Pool pool{name, zone, spot};
                     const auto r = in_.refused_until.find(pool);
                     if (r != in_.refused_until.end() && r->second > in_.now) continue;
-                    // Money for the room that the queue would really use on it.
+                    // Money for the capacity that the queue would really use on it.
                     const double price = spot ? t.spot_price : t.price;
                     const double used = std::min(t.size.cpus, std::max(cpus_wanted, e.job.need.cpus));
                     const std::tuple<double, std::size_t> cost{price / std::max(used, 1e-3),
@@ -136,9 +136,10 @@
     }
 
     bool has_home(const Job& j) const {
-        return std::any_of(room_.machines().begin(), room_.machines().end(), [&](const MachineCapacity& m) {
-            return m.usable && !m.draining && may_run_on(j, m) && j.need.fits_in(m.type->size);
-        });
+        return std::any_of(
+            capacity_.machines().begin(), capacity_.machines().end(), [&](const MachineCapacity& m) {
+                return m.usable && !m.draining && may_run_on(j, m) && j.need.fits_in(m.type->size);
+            });
     }
 
     std::size_t machines_in(const std::string& zone) const {
@@ -147,7 +148,7 @@
     }
 
     void place_all(const JobEntry& e) {
-        ZoneUse zones = ZoneUse::of(e, room_);
+        ZoneUse zones = ZoneUse::of(e, capacity_);
         some(e, zones, e.unstarted());
     }
 
@@ -160,8 +161,8 @@
 
     void lend_running() {
         std::unordered_map<const JobEntry*, double> shares;
-        for (std::size_t i = 0; i < room_.machines().size(); ++i) {
-            const MachineCapacity& m = room_.machines()[i];
+        for (std::size_t i = 0; i < capacity_.machines().size(); ++i) {
+            const MachineCapacity& m = capacity_.machines()[i];
             if (m.held == nullptr || !m.usable || m.draining) continue;
             for (const auto& [ref, held] : *m.held) {
                 const JobEntry* e = held.entry;
@@ -169,7 +170,7 @@
                 const auto [share, fresh] = shares.try_emplace(e, 0);
                 // Half of its run is still to come, as far as anyone knows.
                 if (fresh) share->second = 1 - time_share(e->job, task_seconds(e->job) / 2);
-                room_.give(i, e->job.need * share->second);
+                capacity_.give(i, e->job.need * share->second);
             }
         }
     }
@@ -177,7 +178,7 @@
     void place_share(const JobEntry& e) {
         // A task that runs longer than the wanted time needs a place of its own at once; short ones queue.
         const double share = time_share(e.job, std::max(task_seconds(e.job), 1.0));
-        ZoneUse zones = ZoneUse::of(e, room_);
+        ZoneUse zones = ZoneUse::of(e, capacity_);
         if (!has_home(e.job)) {
             // However short the queue: without any machine that could take it, it would wait for ever.
             some(e, zones, 1);
@@ -221,7 +222,7 @@
 
     const FleetSettings& settings_;
     const FleetInput& in_;
-    FreeCapacity& room_;
+    FreeCapacity& capacity_;
     std::map<Pool, std::uint32_t> rent_;
     std::map<std::string, Amount> used_;
     std::map<std::string, std::size_t> in_zone_;
@@ -232,8 +233,9 @@
 
 }  // namespace
 
-std::map<Pool, std::uint32_t> plan_rentals(const FleetSettings& s, const FleetInput& in, FreeCapacity room) {
-    return Planner{s, in, room}.run();
+std::map<Pool, std::uint32_t> plan_rentals(const FleetSettings& s, const FleetInput& in,
+                                           FreeCapacity capacity) {
+    return Planner{s, in, capacity}.run();
 }
 
 }  // namespace hatchwind::core
--- a/src/core/fleet_planner.hpp
+++ b/src/core/fleet_planner.hpp
@@ -1,4 +1,4 @@
-// Renting follows the queue: what has no room, less what is booting already.
+// Renting follows the queue: what has no capacity, less what is booting already.
 #pragma once
 
 #include <map>
@@ -31,7 +31,7 @@
 
 struct FleetInput {
     const Ledger* ledger = nullptr;
-    const Picture* picture = nullptr;
+    const ClusterView* cluster_view = nullptr;
     const Catalog* catalog = nullptr;
     const std::map<std::string, Team>* teams = nullptr;
     const std::vector<Objective>* objectives = nullptr;
@@ -43,6 +43,7 @@
 };
 
 // How many machines to rent from which pool.
-std::map<Pool, std::uint32_t> plan_rentals(const FleetSettings& s, const FleetInput& in, FreeCapacity room);
+std::map<Pool, std::uint32_t> plan_rentals(const FleetSettings& s, const FleetInput& in,
+                                           FreeCapacity capacity);
 
 }  // namespace hatchwind::core
--- a/src/core/free_capacity.cpp
+++ b/src/core/free_capacity.cpp
@@ -5,7 +5,7 @@
 namespace hatchwind::core {
 
 namespace {
-// Recorded attempts use room unless the worker says that they have ended.
+// Recorded attempts use capacity unless the worker says that they have ended.
 Amount used_on(const MachineView& view, const HeldTasks& held) {
     Amount sum;
     for (const auto& [ref, h] : held) {
@@ -18,12 +18,12 @@
 
 // Not split yet: walks fleet, records and cache in step.
 // NOLINTNEXTLINE(readability-function-cognitive-complexity)
-FreeCapacity FreeCapacity::build(const Picture& p, const Ledger& l, const Catalog& c, const Availability& a,
-                                 FreeCapacityCache* memory) {
-    FreeCapacity room;
-    if (memory != nullptr) room.machines_ = std::move(memory->spare_machines);
-    room.machines_.clear();
-    room.machines_.reserve(p.machines().size());
+FreeCapacity FreeCapacity::build(const ClusterView& p, const Ledger& l, const Catalog& c,
+                                 const Availability& a, FreeCapacityCache* memory) {
+    FreeCapacity capacity;
+    if (memory != nullptr) capacity.machines_ = std::move(memory->spare_machines);
+    capacity.machines_.clear();
+    capacity.machines_.reserve(p.machines().size());
     auto recorded = l.by_machine().begin();
     std::vector<FreeCapacityCache::Use> uses;
     std::vector<FreeCapacityCache::Use>::const_iterator known;
@@ -63,16 +63,16 @@
                 uses.push_back({id, view.last.session, view.content_tick, recorded->second.version, used});
             }
         }
-        room.machines_.push_back(std::move(m));
+        capacity.machines_.push_back(std::move(m));
     }
     if (memory != nullptr) {
         memory->spare_uses = std::move(memory->uses);
         memory->uses = std::move(uses);
     }
-    room.sorted_ = room.machines_.size();
+    capacity.sorted_ = capacity.machines_.size();
     // These sets are small beside the fleet.
     const auto mark = [&](const std::string& id, auto&& change) {
-        if (const auto at = room.at(id); at != npos) change(room.machines_[at]);
+        if (const auto at = capacity.at(id); at != npos) change(capacity.machines_[at]);
     };
     for (const auto& id : a.draining) {
         mark(id, [](MachineCapacity& m) {
@@ -84,7 +84,7 @@
     for (const auto& [id, until] : a.banned_until) {
         if (until > a.now) mark(id, [](MachineCapacity& m) { m.usable = false; });
     }
-    return room;
+    return capacity;
 }
 
 void FreeCapacity::recycle(FreeCapacityCache& memory) {
@@ -129,13 +129,13 @@
     }
 }
 
-ZoneUse ZoneUse::of(const JobEntry& e, const FreeCapacity& room) {
+ZoneUse ZoneUse::of(const JobEntry& e, const FreeCapacity& capacity) {
     ZoneUse z;
     // Without a rule on zones nobody asks.
     if (!e.job.spread && !e.job.one_zone) return z;
     for (const auto& [i, c] : e.chunks) {
         for (const auto& [task, a] : c.open) {
-            const MachineCapacity* m = room.find(a.machine);
+            const MachineCapacity* m = capacity.find(a.machine);
             ++z.total;
             if (m == nullptr) {
                 ++z.unknown;
--- a/src/core/free_capacity.hpp
+++ b/src/core/free_capacity.hpp
@@ -9,9 +9,9 @@
 #include <tuple>
 #include <vector>
 
+#include "core/cluster_view.hpp"
 #include "core/ledger.hpp"
 #include "core/model.hpp"
-#include "core/picture.hpp"
 
 namespace hatchwind::core {
 
@@ -33,7 +33,7 @@
     bool has_image(const std::string& image) const { return view != nullptr && view->images.contains(image); }
 };
 
-// What makes a machine unfit to take tasks now; filled in by whoever builds the room.
+// What makes a machine unfit to take tasks now; filled in by whoever builds the capacity.
 struct Availability {
     Micros now{};           // steady
     Micros silent_after{};  // a machine without news for this long takes nothing new
@@ -44,7 +44,7 @@
     std::map<std::string, Micros> banned_until;  // steady: machines on which tasks failed or were refused
 };
 
-// What recorded attempts use on each machine, as the last room was built. A pass builds its room anew, and
+// What recorded attempts use on each machine, as it was last built. A pass builds the free capacity anew, and
 // most machines are as they were in the one before.
 struct FreeCapacityCache {
     struct Use {
@@ -55,14 +55,14 @@
         Amount amount;
     };
     std::vector<Use> uses;  // in the machines' order
-    // Memory for the next room: large blocks that come and go with every pass make the allocator tidy up.
+    // Memory for the next one: large blocks that come and go with every pass make the allocator tidy up.
     std::vector<Use> spare_uses;
     std::vector<MachineCapacity> spare_machines;
 };
 
 class FreeCapacity {
   public:
-    static FreeCapacity build(const Picture& p, const Ledger& l, const Catalog& c, const Availability& a,
+    static FreeCapacity build(const ClusterView& p, const Ledger& l, const Catalog& c, const Availability& a,
                               FreeCapacityCache* memory = nullptr);
 
     std::vector<MachineCapacity>& machines() { return machines_; }
@@ -72,7 +72,7 @@
     const MachineCapacity* find(const std::string& id) const;
     std::size_t add(MachineCapacity m);
 
-    // Leaves its memory to the next one; the room is empty afterwards.
+    // Leaves its memory to the next one; it is empty afterwards.
     void recycle(FreeCapacityCache& memory);
 
     void take(std::size_t at, const Amount& need);
@@ -94,7 +94,7 @@
     std::uint32_t unknown = 0;
     std::uint32_t total = 0;
 
-    static ZoneUse of(const JobEntry& e, const FreeCapacity& room);
+    static ZoneUse of(const JobEntry& e, const FreeCapacity& capacity);
     bool allows(const Job& j, const std::string& zone) const;
     void add(const std::string& zone) {
         ++by_zone[zone];
@@ -106,10 +106,10 @@
     }
 };
 
-// Type, zone and kind of machine; room and the job's other tasks are separate questions.
+// Type, zone and kind of machine; free capacity and the job's other tasks are separate questions.
 bool may_run_on(const Job& j, const MachineCapacity& m);
 // Takes one more task of it now, its zone rules apart.
-inline bool has_room_for(const Job& j, const MachineCapacity& m) {
+inline bool has_capacity_for(const Job& j, const MachineCapacity& m) {
     return m.usable && !m.draining && j.need.fits_in(m.free) && may_run_on(j, m);
 }
 
--- a/src/core/ledger.hpp
+++ b/src/core/ledger.hpp
@@ -121,7 +121,7 @@
     std::set<std::string> waiting_;
     std::map<std::string, AwaitParts> await_parts_;
     std::unordered_map<std::string, Amount> use_;
-    std::map<std::string, MachineTasks> by_machine_;  // in the picture's order: passes walk both in step
+    std::map<std::string, MachineTasks> by_machine_;  // in the cluster view's order: passes walk both in step
     std::uint64_t changes_ = 0;
     std::map<ChunkKey, Chunk> orphans_;
     std::map<AttemptPageKey, AttemptPage> pages_;
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -20,7 +20,7 @@
 using Stamp = std::uint64_t;  // a store revision; 0: the key does not exist
 
 constexpr double kSlack =
-    1e-6;  // amounts are decimal fractions: sums of them are compared with this much room
+    1e-6;  // amounts are decimal fractions: sums of them are compared with this tolerance
 
 enum class JobKind : std::uint8_t { array, gang, service };
 enum class Priority : std::uint8_t { best_effort, normal, high, production };
@@ -43,9 +43,9 @@
         return *this;
     }
     friend Amount operator*(Amount a, double k) { return {a.cpus * k, a.gpus * k, a.memory_gb * k}; }
-    bool fits_in(const Amount& room) const {
-        return cpus <= room.cpus + kSlack && gpus <= room.gpus + kSlack &&
-               memory_gb <= room.memory_gb + kSlack;
+    bool fits_in(const Amount& capacity) const {
+        return cpus <= capacity.cpus + kSlack && gpus <= capacity.gpus + kSlack &&
+               memory_gb <= capacity.memory_gb + kSlack;
     }
 };
 
--- a/src/core/placement.hpp
+++ b/src/core/placement.hpp
@@ -40,7 +40,7 @@
 
 struct PlacementInput {
     const Ledger* ledger = nullptr;
-    const Picture* picture = nullptr;
+    const ClusterView* cluster_view = nullptr;
     const std::map<std::string, Team>* teams = nullptr;
     const std::vector<Objective>* objectives = nullptr;
     const PipelineSchedule* pipelines = nullptr;  // null: no job waits for others
@@ -48,7 +48,7 @@
     std::map<std::string, Micros> job_backoff;  // steady: until when the job's tasks are not tried
     std::map<TaskRef, Reservation> reservations;
     std::vector<Reservation> foreign;  // other owners' holds
-    std::set<TaskRef> stopping;        // told to stop for somebody's room, and not gone yet
+    std::set<TaskRef> stopping;        // told to stop to free capacity for another, and not gone yet
     Micros now{};                      // steady
     Micros wall{};                     // time of day
     std::size_t most_starts = 48;
--- a/src/service/attempt_page_writer.cpp
+++ b/src/service/attempt_page_writer.cpp
@@ -109,7 +109,7 @@
         add_chunk(unit, key, record, now);
         content[key] = &record.chunk;
     }
-    const std::size_t longest_name = node_.picture.longest_name();
+    const std::size_t longest_name = node_.cluster_view.longest_name();
     for (const auto& [key, chunk] : content) unit.bytes += json_bytes(key, *chunk, longest_name);
     add_page(unit, page, content, taken);
     return unit;
--- a/src/service/attempt_settlement.cpp
+++ b/src/service/attempt_settlement.cpp
@@ -77,10 +77,10 @@
     const auto& recorded_machines = node_.ledger.by_machine();
     spare_settled_.clear();
     spare_settled_.reserve(recorded_machines.size());
-    auto view = node_.picture.machines().begin();
-    const auto views_end = node_.picture.machines().end();
+    auto view = node_.cluster_view.machines().begin();
+    const auto views_end = node_.cluster_view.machines().end();
     auto old = settled_.cbegin();
-    // Picture, ledger and the last pass are in the order of the machines' names.
+    // ClusterView, ledger and the last pass are in the order of the machines' names.
     for (const auto& [id, recorded] : recorded_machines) {
         while (view != views_end && view->first < id) ++view;
         while (old != settled_.cend() && old->machine < id) ++old;
@@ -122,7 +122,7 @@
         if (!entry.job.cancelled || entry.open == 0 || !node_.owns(entry.job.team)) continue;
         for (const auto& [index, chunk] : entry.chunks) {
             for (const auto& [task, attempt] : chunk.open) {
-                const MachineState state = look_at(node_.picture.find(attempt.machine), steady_now());
+                const MachineState state = look_at(node_.cluster_view.find(attempt.machine), steady_now());
                 settle_attempt(staged, {entry, task, attempt}, state);
             }
         }
@@ -149,7 +149,7 @@
     const core::Attempt& attempt = open.attempt;
     const auto view =
         state.view == nullptr
-            ? core::view_attempt(node_.picture, open.job(), open.task, attempt)
+            ? core::view_attempt(node_.cluster_view, open.job(), open.task, attempt)
             : core::view_attempt(*state.view, open.job(), open.task, attempt.number, attempt.session);
     const bool ended = view.fate == Fate::exited || view.fate == Fate::gone;
     if (state.quiet && !ended && node_.lease_over(attempt.machine, attempt.session, io::wall_now())) {
--- a/src/service/attempt_settlement.hpp
+++ b/src/service/attempt_settlement.hpp
@@ -25,7 +25,7 @@
   private:
     // What is the same for all attempts on one machine.
     struct MachineState {
-        const core::MachineView* view = nullptr;  // null: not in the picture
+        const core::MachineView* view = nullptr;  // null: not in the cluster view
         bool quiet = false;                       // without news for so long that its leases may have ended
         io::Micros now{0};                        // steady
     };
--- a/src/service/cancel_enforcement.cpp
+++ b/src/service/cancel_enforcement.cpp
@@ -36,7 +36,7 @@
         const bool owned = node_.acting() && node_.owns(entry.job.team);
         for (const auto& [index, chunk] : entry.chunks) {
             for (const auto& [task, attempt] : chunk.open) {
-                const auto view = core::view_attempt(node_.picture, id, task, attempt);
+                const auto view = core::view_attempt(node_.cluster_view, id, task, attempt);
                 if (view.fate == Fate::exited || view.fate == Fate::gone) continue;
                 tasks.push_back({{id, task}, attempt, view.fate, wall - entry.job.cancelled_at, owned});
             }
@@ -61,9 +61,9 @@
 std::vector<std::string> CancelEnforcement::overdue_machines(const std::vector<Remaining>& tasks) {
     std::vector<std::string> machines;
     for (const auto& [ref, attempt, fate, cancelled_for, owned_here] : tasks) {
-        // An old picture of the machine is no reason to give it back: asking it brings a new one.
+        // An old view of the machine is no reason to give it back: asking it brings a new one.
         if (cancelled_for > share_of_limit(kAskMachineShare) &&
-            node_.picture.find(attempt.machine) != nullptr) {
+            node_.cluster_view.find(attempt.machine) != nullptr) {
             node_.suspects.try_emplace(attempt.machine);
         }
         // A task that its machine does not list may just not have started: its owner is at it for longer.
--- a/src/service/drain_marks.cpp
+++ b/src/service/drain_marks.cpp
@@ -19,7 +19,7 @@
     for (const bool standing : {false, true}) {
         for (auto machine = machines.begin();
              machine != machines.end() && bytes > node_.settings.value_limit();) {
-            if ((node_.picture.find(*machine) != nullptr) != standing) {
+            if ((node_.cluster_view.find(*machine) != nullptr) != standing) {
                 ++machine;
                 continue;
             }
--- a/src/service/draining.cpp
+++ b/src/service/draining.cpp
@@ -48,10 +48,10 @@
 core::DrainInput Draining::drain_input(Micros now) const {
     core::DrainInput input;
     input.ledger = &node_.ledger;
-    input.picture = &node_.picture;
+    input.cluster_view = &node_.cluster_view;
     input.now = now;
     for (const auto& machine : node_.draining) {
-        if (node_.picture.find(machine) != nullptr) input.draining.insert(machine);
+        if (node_.cluster_view.find(machine) != nullptr) input.draining.insert(machine);
     }
     const Micros end = now + node_.tunables.drain_bound;
     input.out_of_time = [end] { return steady_now() >= end; };
@@ -61,11 +61,12 @@
 // Caps grow with the fleet: a handful at a time would take hours to give back what one burst needed.
 core::DrainSettings Draining::drain_settings() const {
     core::DrainSettings settings = node_.tunables.drain;
-    const auto fleet = static_cast<double>(node_.picture.machines().size());
+    const auto fleet = static_cast<double>(node_.cluster_view.machines().size());
     const auto total_share = static_cast<std::size_t>(fleet * node_.tunables.drain_share);
     const auto busy_share = static_cast<std::size_t>(fleet * node_.tunables.drain_busy_share);
     // So many marks surely fit into one value of the store.
-    const std::size_t most_marks = node_.settings.value_bytes() / (node_.picture.longest_name() + kMarkBytes);
+    const std::size_t most_marks =
+        node_.settings.value_bytes() / (node_.cluster_view.longest_name() + kMarkBytes);
     settings.total_cap = std::min(most_marks, std::max(settings.total_cap, total_share));
     settings.busy_cap = std::max(settings.busy_cap, busy_share);
     return settings;
@@ -73,7 +74,7 @@
 
 core::DrainResult Draining::plan(const core::DrainInput& input) {
     return core::plan_drains(drain_settings(), input,
-                             core::FreeCapacity::build(node_.picture, node_.ledger, *node_.catalog,
+                             core::FreeCapacity::build(node_.cluster_view, node_.ledger, *node_.catalog,
                                                        node_.availability(), &node_.free_capacity_cache),
                              state_);
 }
--- a/src/service/failure_records.cpp
+++ b/src/service/failure_records.cpp
@@ -79,7 +79,7 @@
 void FailureRecords::forget_gone() {
     std::erase_if(jobs_, [&](const auto& job) { return node_.ledger.find(job.first) == nullptr; });
     std::erase_if(machines_,
-                  [&](const auto& machine) { return node_.picture.find(machine.first) == nullptr; });
+                  [&](const auto& machine) { return node_.cluster_view.find(machine.first) == nullptr; });
 }
 
 }  // namespace hatchwind::service
--- a/src/service/give_back.cpp
+++ b/src/service/give_back.cpp
@@ -17,7 +17,7 @@
 
 namespace {
 constexpr std::size_t kMostPerRequest = 100;
-// For a mark to reach the others' pictures.
+// For a mark to reach the others' cluster views.
 constexpr Micros kMarkSpreads{500'000};
 constexpr Micros kLongTerm{10'000'000};
 constexpr Micros kSilentReleaseSpan{60'000'000};
@@ -40,7 +40,7 @@
 
 void GiveBack::add_drained(std::vector<std::string>& due, Micros now) {
     for (const auto& machine : node_.draining) {
-        if (node_.picture.released(machine) || node_.picture.find(machine) == nullptr) continue;
+        if (node_.cluster_view.released(machine) || node_.cluster_view.find(machine) == nullptr) continue;
         if (!node_.ledger.on_machine(machine).empty()) {
             emptied_.erase(machine);
             continue;
@@ -60,7 +60,7 @@
 
 void GiveBack::add_silent(std::vector<std::string>& due, Micros now, Micros term_began) {
     std::vector<core::SilentMachine> machines;
-    for (const auto& [machine, view] : node_.picture.machines()) {
+    for (const auto& [machine, view] : node_.cluster_view.machines()) {
         // Not before this leader has had the time to hear them all.
         const Micros silent = std::min(silent_for(machine, view, now), now - term_began);
         machines.push_back({machine, silent, !node_.ledger.on_machine(machine).empty()});
@@ -78,8 +78,8 @@
         list_fresh && now - term_began > from_seconds(node_.settings.list_lag_s * 2 + 10);
     std::set<std::string> marks = node_.draining;
     std::erase_if(marks, [&](const std::string& machine) {
-        if (node_.picture.released(machine)) return true;
-        return node_.picture.find(machine) == nullptr && list_settled && !rentals_.contains(machine);
+        if (node_.cluster_view.released(machine)) return true;
+        return node_.cluster_view.find(machine) == nullptr && list_settled && !rentals_.contains(machine);
     });
     std::erase_if(emptied_, [&](const auto& emptied) { return !marks.contains(emptied.first); });
     const std::size_t gone = node_.draining.size() - marks.size();
--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -109,7 +109,7 @@
     const Micros settled = from_seconds(node_.settings.list_lag_s * 2 + 5);
     std::vector<std::string> vanished;
     if (now - term_began_ <= settled) return vanished;
-    for (const auto& [machine, view] : node_.picture.machines()) {
+    for (const auto& [machine, view] : node_.cluster_view.machines()) {
         if (!rentals_.contains(machine) && now - view.changed > settled) vanished.push_back(machine);
     }
     if (vanished.size() > kMostReleased) vanished.resize(kMostReleased);
--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -48,8 +48,8 @@
 bool Mesh::push(Link& link, const std::string& frame) const {
     if (!link.connected) return false;
     if (link.out.size() > static_cast<std::size_t>(node_.settings.memory_mb * 1024 * 1024) / kQueueParts) {
-        // A peer that does not read: what it misses, the full picture makes good as soon as it has read the
-        // rest.
+        // A peer that does not read: what it misses, the full cluster view makes good as soon as it has read
+        // the rest.
         link.missed = true;
         return false;
     }
@@ -82,7 +82,7 @@
     link.missed = false;
     link.answered_until = Micros{0};
     link.released_told = 0;
-    for (const auto& [id, view] : node_.picture.machines()) {
+    for (const auto& [id, view] : node_.cluster_view.machines()) {
         wire::MeshReport m = describe(view, view.heard);
         for (const auto& [image, i] : view.images) m.images.emplace_back(image, i.gb);
         link.out += wire::encode_frame(m);
@@ -168,10 +168,10 @@
     // A held connection may deliver old tables after newer ones.
     if (heartbeat.wall_us < p.heartbeat.wall_us) return;
     for (const auto& [machine, at] : heartbeat.answered) {
-        if (node_.picture.released(machine)) continue;
+        if (node_.cluster_view.released(machine)) continue;
         auto& any = node_.answered_any[machine];
         any = std::max(any, Micros{at});
-        node_.picture.heard(machine, Micros{at});
+        node_.cluster_view.heard(machine, Micros{at});
     }
     for (const auto& r : heartbeat.released) node_.note_released(r);
     if (from == node_.epoch.leader)
@@ -181,7 +181,7 @@
     }
     // What does not answer somebody else may not answer anyone: this node asks for itself.
     for (const auto& machine : heartbeat.unanswered) {
-        if (node_.picture.find(machine) != nullptr) node_.suspects.try_emplace(machine);
+        if (node_.cluster_view.find(machine) != nullptr) node_.suspects.try_emplace(machine);
     }
     node_.take_cancels(heartbeat.cancels);
     p.heartbeat = std::move(heartbeat);
@@ -202,7 +202,7 @@
 }
 
 void Mesh::take_hold(const wire::MeshHold& hold) {
-    if (node_.foreign_holds.size() > std::max<std::size_t>(512, node_.picture.machines().size())) return;
+    if (node_.foreign_holds.size() > std::max<std::size_t>(512, node_.cluster_view.machines().size())) return;
     const Micros until =
         steady_now() + std::min(Micros{static_cast<std::int64_t>(hold.for_us)}, Micros{10'000'000});
     node_.foreign_holds[{hold.job, hold.task}] = {
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -77,7 +77,7 @@
 // NOLINTNEXTLINE(readability-function-cognitive-complexity)
 bool Node::absorb(core::WorkerReport r, Micros heard, bool answer, bool confirmed) {
     note_session(r.machine, r.session);
-    const core::MachineView* before = picture.find(r.machine);
+    const core::MachineView* before = cluster_view.find(r.machine);
     const bool known = before != nullptr;
     const auto old_content = known ? std::pair{before->last.session, before->content_tick}
                                    : std::pair<std::uint64_t, std::uint64_t>{};
@@ -87,11 +87,11 @@
     const std::string machine = r.machine;
     // A report that bears the token of an epoch that has only just begun was made after it began.
     const bool recent = r.token != 0 && r.token == epoch.number && now - epoch_seen < doubt_after();
-    if (!picture.apply(std::move(r), now, heard, answer || recent || confirmed, doubt_after())) {
-        if (heard.count() != 0) picture.heard(machine, heard);
+    if (!cluster_view.apply(std::move(r), now, heard, answer || recent || confirmed, doubt_after())) {
+        if (heard.count() != 0) cluster_view.heard(machine, heard);
         return false;
     }
-    const core::MachineView& m = *picture.find(machine);
+    const core::MachineView& m = *cluster_view.find(machine);
     const bool changed = !known || old_content != std::pair{m.last.session, m.content_tick};
     if (changed && catalog) {
         const auto type = catalog->find(m.last.type);
@@ -100,7 +100,7 @@
                              (t.state != core::TaskState::exited || t.cause == core::ExitCause::done);
             const core::JobEntry* e = has ? ledger.find(t.job) : nullptr;
             if (e != nullptr && type != catalog->end()) {
-                picture.note_image(machine, e->job.image, e->job.image_gb, type->second.cache_gb, now);
+                cluster_view.note_image(machine, e->job.image, e->job.image_gb, type->second.cache_gb, now);
             }
         }
     }
@@ -131,8 +131,8 @@
         suspects.erase(machine);
     }
     const bool news = absorb(std::move(r), answered ? wall : Micros{0}, !answered, false);
-    if (!answered) picture.confirm(machine);
-    const core::MachineView* m = picture.find(machine);
+    if (!answered) cluster_view.confirm(machine);
+    const core::MachineView* m = cluster_view.find(machine);
     // A copy of an old report is no sign of life, and none of the others' business.
     if (m == nullptr || m->last.tick != tick || !forward) return;
     // Unchanged reports are passed on in a short form: the others use a machine only while it has news.
@@ -149,23 +149,23 @@
 void Node::take_forward(wire::MeshReport m) {
     const Micros heard{m.heard_us};
     const std::string machine = m.report.machine;
-    if (picture.released(machine)) return;
+    if (cluster_view.released(machine)) return;
     answered_elsewhere(machine, heard);
     absorb(std::move(m.report), heard, false, m.confirmed);
-    const auto* view = catalog && !m.images.empty() ? picture.find(machine) : nullptr;
+    const auto* view = catalog && !m.images.empty() ? cluster_view.find(machine) : nullptr;
     const auto type = view == nullptr ? core::Catalog::const_iterator{} : catalog->find(view->last.type);
     if (view == nullptr || type == catalog->end()) return;
     for (const auto& [image, gb] : m.images) {
         if (!view->images.contains(image))
-            picture.note_image(machine, image, gb, type->second.cache_gb, io::steady_now());
+            cluster_view.note_image(machine, image, gb, type->second.cache_gb, io::steady_now());
     }
 }
 
 void Node::take_alive(const wire::MeshAlive& m) {
     const Micros heard{m.heard_us};
-    if (picture.released(m.machine)) return;
+    if (cluster_view.released(m.machine)) return;
     answered_elsewhere(m.machine, heard);
-    picture.alive(m.machine, m.session, m.tick, m.token, m.content_tick, io::steady_now(), heard);
+    cluster_view.alive(m.machine, m.session, m.tick, m.token, m.content_tick, io::steady_now(), heard);
 }
 
 void Node::note_unanswered(const std::string& machine) {
@@ -176,12 +176,12 @@
 }
 
 void Node::note_released(const std::string& machine) {
-    if (picture.released(machine)) return;
-    const core::MachineView* view = picture.find(machine);
+    if (cluster_view.released(machine)) return;
+    const core::MachineView* view = cluster_view.find(machine);
     if (view != nullptr) {
         if (const auto a = io::parse_address(view->last.address)) workers_http.forget(*a);
     }
-    picture.release(machine);
+    cluster_view.release(machine);
     answered_here.erase(machine);
     answered_any.erase(machine);
     homed_.erase(machine);
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -8,9 +8,9 @@
 #include <string>
 #include <unordered_map>
 
+#include "core/cluster_view.hpp"
 #include "core/epoch.hpp"
 #include "core/ledger.hpp"
-#include "core/picture.hpp"
 #include "core/placement.hpp"
 #include "io/http.hpp"
 #include "io/loop.hpp"
@@ -47,7 +47,7 @@
     io::Signal advanced;  // the copy has moved
     io::Signal hurry;     // somebody waits for the copy
 
-    core::Picture picture;
+    core::ClusterView cluster_view;
     core::FreeCapacityCache free_capacity_cache;
     std::optional<core::Catalog> catalog;
     core::Member self;
--- a/src/service/order_dispatch.cpp
+++ b/src/service/order_dispatch.cpp
@@ -72,7 +72,7 @@
     std::erase_if(to_reap_, [&](const TaskAttempt& closed) {
         const core::Attempt& attempt = closed.attempt;
         if (workers_.start_pending(closed.job, closed.task, attempt.number)) return false;
-        const auto view = core::view_attempt(node_.picture, closed.job, closed.task, attempt);
+        const auto view = core::view_attempt(node_.cluster_view, closed.job, closed.task, attempt);
         if (view.fate == Fate::exited) {
             workers_.order(attempt.machine, attempt.session,
                            {OrderKind::forget, closed.job, closed.task, attempt.number, 0});
@@ -88,7 +88,7 @@
     if (now - last_sweep_ < kSweepInterval) return false;
     last_sweep_ = now;
     Strays seen;
-    for (const auto& [machine, view] : node_.picture.machines()) {
+    for (const auto& [machine, view] : node_.cluster_view.machines()) {
         if (view.last.token >= node_.epoch.number) end_strays(machine, view, now, seen);
     }
     strays_ = std::move(seen);
--- a/src/service/page_assignment.cpp
+++ b/src/service/page_assignment.cpp
@@ -28,7 +28,7 @@
     using Pages = std::map<core::AttemptPageKey, std::vector<core::ChunkKey>>;
 
     PageAssignment(const Node& node, const std::set<std::string>& ending)
-        : node_(node), capacity_(page_bytes(node.settings)), longest_name_(node.picture.longest_name()) {
+        : node_(node), capacity_(page_bytes(node.settings)), longest_name_(node.cluster_view.longest_name()) {
         for (const auto& [key, page] : node.ledger.pages()) {
             if (node.owns(key.first)) load_[key] = load_of(page, ending);
         }
--- a/src/service/placement_round.cpp
+++ b/src/service/placement_round.cpp
@@ -23,9 +23,9 @@
     input.most_starts =
         std::max<std::size_t>(input.most_starts, node_.settings.txn_ops * kStartsPerOperation);
     input.most_stops =
-        std::max<std::size_t>(input.most_stops, node_.picture.machines().size() / kMachinesPerStop);
+        std::max<std::size_t>(input.most_stops, node_.cluster_view.machines().size() / kMachinesPerStop);
     input.ledger = &node_.ledger;
-    input.picture = &node_.picture;
+    input.cluster_view = &node_.cluster_view;
     input.teams = &node_.settings.teams;
     input.objectives = &node_.settings.objectives;
     for (const auto& [name, team] : node_.settings.teams) {
@@ -61,7 +61,7 @@
     auto availability = node_.availability();
     for (const auto& [machine, until] : failures_.machine_backoff(now))
         availability.banned_until[machine] = until;
-    return core::FreeCapacity::build(node_.picture, node_.ledger, *node_.catalog, availability,
+    return core::FreeCapacity::build(node_.cluster_view, node_.ledger, *node_.catalog, availability,
                                      &node_.free_capacity_cache);
 }
 
--- a/src/service/rental_list.cpp
+++ b/src/service/rental_list.cpp
@@ -39,7 +39,7 @@
 void RentalList::take(const Listed& listed) {
     const Micros now = steady_now();
     for (const auto& [machine, rental] : listed) {
-        if (node_.picture.released(machine)) continue;
+        if (node_.cluster_view.released(machine)) continue;
         KnownRental& known = known_[machine];
         if (known.rented.count() == 0)
             known.rented = now - from_seconds(rental.age_s + node_.settings.list_lag_s);
@@ -54,7 +54,7 @@
 // new one of ours is missing from it for a while.
 bool RentalList::is_gone(const std::string& machine, const KnownRental& known, const Listed& listed,
                          Micros now) const {
-    if (node_.picture.released(machine)) return true;
+    if (node_.cluster_view.released(machine)) return true;
     if (listed.contains(machine)) return false;
     const double lag_s = node_.settings.list_lag_s;
     if (known.listed) return now - known.seen > from_seconds(lag_s * 2 + 2);
@@ -95,7 +95,8 @@
 std::vector<core::Rental> RentalList::booting(Micros now) const {
     std::vector<core::Rental> booting;
     for (const auto& [machine, known] : known_) {
-        if (node_.picture.find(machine) != nullptr || known.rental.state == RentalState::failed) continue;
+        if (node_.cluster_view.find(machine) != nullptr || known.rental.state == RentalState::failed)
+            continue;
         if (!overdue(known, now)) booting.push_back(known.rental);
     }
     return booting;
@@ -104,8 +105,8 @@
 std::vector<std::string> RentalList::failed(Micros now, bool long_term) const {
     std::vector<std::string> failed;
     for (const auto& [machine, known] : known_) {
-        const bool in_picture = node_.picture.find(machine) != nullptr;
-        const bool absent = !in_picture && long_term && never_came_up(known, now);
+        const bool in_view = node_.cluster_view.find(machine) != nullptr;
+        const bool absent = !in_view && long_term && never_came_up(known, now);
         if (known.rental.state == RentalState::failed || absent) failed.push_back(machine);
     }
     return failed;
--- a/src/service/renting.cpp
+++ b/src/service/renting.cpp
@@ -28,7 +28,7 @@
 core::FleetInput Renting::fleet_input(Micros now) const {
     core::FleetInput input;
     input.ledger = &node_.ledger;
-    input.picture = &node_.picture;
+    input.cluster_view = &node_.cluster_view;
     input.catalog = &*node_.catalog;
     input.teams = &node_.settings.teams;
     input.objectives = &node_.settings.objectives;
@@ -42,7 +42,7 @@
 core::FleetSettings Renting::fleet_settings() const {
     core::FleetSettings settings = node_.tunables.fleet;
     // As many as can be asked for in some seconds.
-    const auto fleet = static_cast<double>(node_.picture.machines().size());
+    const auto fleet = static_cast<double>(node_.cluster_view.machines().size());
     settings.most_per_round = std::max<std::size_t>(
         settings.most_per_round, static_cast<std::size_t>(fleet * node_.tunables.rent_share));
     return settings;
@@ -55,7 +55,7 @@
     input.pipelines = &pipelines;
     const auto wanted =
         core::plan_rentals(fleet_settings(), input,
-                           core::FreeCapacity::build(node_.picture, node_.ledger, *node_.catalog,
+                           core::FreeCapacity::build(node_.cluster_view, node_.ledger, *node_.catalog,
                                                      node_.availability(), &node_.free_capacity_cache));
     last_plan_ = std::min(steady_now() - now, kPlanCounted);
     for (const auto& [pool, number] : wanted) {
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -71,7 +71,7 @@
     std::uint32_t running = 0;
     for (const auto& [i, c] : e.chunks) {
         for (const auto& [task, a] : c.open) {
-            const auto v = core::view_attempt(node_.picture, e.job.id, task, a);
+            const auto v = core::view_attempt(node_.cluster_view, e.job.id, task, a);
             running += v.fate == core::Fate::live && v.state == core::TaskState::running ? 1 : 0;
         }
     }
--- a/src/service/workers.cpp
+++ b/src/service/workers.cpp
@@ -135,7 +135,7 @@
     while (true) {
         auto box = outboxes_.find(machine);
         if (box == outboxes_.end()) co_return;
-        const core::MachineView* view = node_.picture.find(machine);
+        const core::MachineView* view = node_.cluster_view.find(machine);
         const auto address = view == nullptr ? std::nullopt : io::parse_address(view->last.address);
         if (box->second.orders.empty() || !address || !node_.acting()) {
             // Never sent, so nothing of them can be under way.
@@ -174,7 +174,7 @@
         std::size_t& n;
         ~Count() { --n; }
     } count{asking_};
-    const core::MachineView* view = node_.picture.find(machine);
+    const core::MachineView* view = node_.cluster_view.find(machine);
     const auto address = view == nullptr ? std::nullopt : io::parse_address(view->last.address);
     if (!address) {
         node_.suspects.erase(machine);
@@ -202,7 +202,8 @@
         co_await node_.loop.sleep(Micros{200'000});
         if (!node_.synced) continue;
         const Micros now = steady_now();
-        std::erase_if(node_.suspects, [&](const auto& s) { return node_.picture.find(s.first) == nullptr; });
+        std::erase_if(node_.suspects,
+                      [&](const auto& s) { return node_.cluster_view.find(s.first) == nullptr; });
         // Those that wait longest go first: by name, some dozens of dead machines at the list's head took all
         // the turns, and live ones behind them stayed unused. So many at a time as lets a whole fleet answer
         // within seconds of a takeover.
@@ -210,7 +211,7 @@
         for (const auto& [machine, s] : node_.suspects) {
             if (s.next <= now) due.emplace_back(s.next, machine);
         }
-        const std::size_t most = std::max(kAsking, node_.picture.machines().size() / 8);
+        const std::size_t most = std::max(kAsking, node_.cluster_view.machines().size() / 8);
         const std::size_t number = std::min(due.size(), most - std::min(most, asking_));
         std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(number), due.end());
         for (std::size_t i = 0; i < number; ++i) {
@@ -235,7 +236,7 @@
             continue;
         }
         std::vector<io::Address> others;
-        for (const auto& [id, view] : node_.picture.machines()) {
+        for (const auto& [id, view] : node_.cluster_view.machines()) {
             // Only machines that other nodes hear.
             if (steady_now() - view.changed > quiet) continue;
             if (const auto a = io::parse_address(view.last.address)) others.push_back(*a);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -87,7 +87,7 @@
 
     std::size_t silent_to_release() const {
         std::vector<core::SilentMachine> all;
-        for (const auto& [id, m] : c.picture.machines())
+        for (const auto& [id, m] : c.cluster_view.machines())
             all.push_back({id, at(now) - m.changed, !c.ledger.on_machine(id).empty()});
         return core::releasable(all, Micros{1'000'000LL * (2 * kReport + 8)}, 0).size();
     }
@@ -133,7 +133,7 @@
                 w.report.tasks.push_back(t);
             }
             if (turn % 7 == 0) copies.push_back(w.report);
-            EXPECT_TRUE(c.picture.apply(w.report, at(now), at(now)));
+            EXPECT_TRUE(c.cluster_view.apply(w.report, at(now), at(now)));
         }
     }
     // What an owner does with what it hears, and with leases.
@@ -143,8 +143,9 @@
             for (const auto& [index, chunk] : e.chunks) {
                 core::Chunk next = chunk;
                 for (const auto& [task, a] : chunk.open) {
-                    const auto v = core::view_attempt(c.picture, id, task, a);
-                    const bool over = at(now) - c.picture.find(a.machine)->heard > at(kLease + 1) - at(0);
+                    const auto v = core::view_attempt(c.cluster_view, id, task, a);
+                    const bool over =
+                        at(now) - c.cluster_view.find(a.machine)->heard > at(kLease + 1) - at(0);
                     if (v.fate == core::Fate::unlisted && !over) {
                         workers.at(a.machine).held.push_back({id, task, a});  // the same start again
                     } else if (v.fate == core::Fate::exited || v.fate == core::Fate::gone || over) {
@@ -165,17 +166,17 @@
         core::Availability a;
         a.now = at(now);
         a.silent_after = Micros{1'000'000LL * (kReport + 2)};
-        auto room = c.room(&a);
+        auto capacity = c.free_capacity(&a);
         core::PlacementInput in;
         in.ledger = &c.ledger;
-        in.picture = &c.picture;
+        in.cluster_view = &c.cluster_view;
         in.teams = &c.teams;
         in.objectives = &c.objectives;
         in.own_teams = {team};
         in.now = in.wall = at(now);
         in.most_starts = 1'000;
         in.most_records = 1'000;
-        const auto out = core::place(in, room);
+        const auto out = core::place(in, capacity);
         std::map<std::string, core::Chunk> chunks;
         for (const auto& s : out.starts) {
             const auto& e = *c.ledger.find(s.job);
@@ -253,12 +254,12 @@
         }
         // Copies of old reports change nothing, however late.
         if (s % 20 == 19) {
-            for (const auto& r : f.copies) EXPECT_FALSE(f.c.picture.apply(r, at(f.now), at(f.now)));
+            for (const auto& r : f.copies) EXPECT_FALSE(f.c.cluster_view.apply(r, at(f.now), at(f.now)));
             f.copies.clear();
         }
     }
     EXPECT_EQ(f.left(), 0U) << "of " << jobs << " jobs";
-    EXPECT_EQ(f.c.picture.machines().size(), 3'000U);
+    EXPECT_EQ(f.c.cluster_view.machines().size(), 3'000U);
 }
 
 }  // namespace
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -189,8 +189,8 @@
     EXPECT_EQ(core::unstarted_tasks(*l.find("req-1"), 50).size(), 50U);
 }
 
-TEST(Picture, NewestSessionAndTickWinsAndReleasedMachinesStayGone) {
-    core::Picture p;
+TEST(ClusterView, NewestSessionAndTickWinsAndReleasedMachinesStayGone) {
+    core::ClusterView p;
     auto r = test::report("n-1", "small", "a");
     r.tick = 5;
     EXPECT_TRUE(p.apply(r, core::Micros{1}, core::Micros{1}));
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -17,7 +17,7 @@
 core::PlacementInput placement_input(const test::Cluster& c) {
     core::PlacementInput in;
     in.ledger = &c.ledger;
-    in.picture = &c.picture;
+    in.cluster_view = &c.cluster_view;
     in.teams = &c.teams;
     in.objectives = &c.objectives;
     for (const auto& [name, t] : c.teams) in.own_teams.insert(name);
@@ -47,7 +47,7 @@
     machine.tasks.push_back(listed(job.id, 0, 1, core::TaskState::running));
 }
 
-// A task is told to make room for another. Until its worker says that it is gone it counts against its team's
+// A task is told to stop for another. Until its worker says that it is gone it counts against its team's
 // limit: it may be saving, its machine may hang, the command may be late.
 TEST(QuotaMeetings, AStopForRoomFreesNothingOfTheLimitBeforeTheTaskIsGone) {
     test::Cluster c;
@@ -67,7 +67,7 @@
     auto filler = test::job("req-3", "y", 1, 3);
     filler.priority = core::Priority::production;
     run_on(c, narrow, filler, 3);
-    for (const auto& r : {wide, narrow, elsewhere}) c.picture.apply(r, c.now, c.now);
+    for (const auto& r : {wide, narrow, elsewhere}) c.cluster_view.apply(r, c.now, c.now);
     // y wants a whole machine; x has a small task waiting, which fits into what is free.
     auto urgent = test::job("req-4", "y", 1, 4);
     urgent.kind = core::JobKind::service;
@@ -77,8 +77,8 @@
     small.priority = core::Priority::normal;
     c.ledger.put_job(small, 5);
 
-    core::FreeCapacity room = c.room();
-    const auto out = core::place(placement_input(c), room);
+    core::FreeCapacity capacity = c.free_capacity();
+    const auto out = core::place(placement_input(c), capacity);
     ASSERT_EQ(out.stops.size(), 1U);
     EXPECT_EQ(out.stops[0].job, "req-1");
     core::Amount use = c.ledger.team_use("x");
@@ -96,22 +96,22 @@
     c.teams["x"] = {"x", 8, 24, 0, 0};
     auto machine = test::report("n-1", "small", "a");
     machine.tasks.push_back(listed("req-1", 0, 1, core::TaskState::exited));
-    c.picture.apply(machine, c.now, c.now);
+    c.cluster_view.apply(machine, c.now, c.now);
     c.ledger.put_job(test::job("req-1", "x", 1, 2), 1);
     core::Chunk chunk;
     chunk.stamp = 2;
     chunk.last_attempt = 1;
     c.ledger.put_chunk("req-1", 0, chunk);
-    core::FreeCapacity room = c.room();
-    const auto out = core::place(placement_input(c), room);
+    core::FreeCapacity capacity = c.free_capacity();
+    const auto out = core::place(placement_input(c), capacity);
     ASSERT_EQ(out.starts.size(), 1U);
     EXPECT_EQ(out.starts[0].attempt.number, 2U);
 
     // One that runs there without a record would make the worker refuse the new one.
     machine.tasks[0].state = core::TaskState::running;
     ++machine.tick;
-    c.picture.apply(machine, c.now, c.now);
-    core::FreeCapacity again = c.room();
+    c.cluster_view.apply(machine, c.now, c.now);
+    core::FreeCapacity again = c.free_capacity();
     EXPECT_TRUE(core::place(placement_input(c), again).starts.empty());
 }
 
@@ -124,14 +124,14 @@
     auto service = test::job("req-1", "x", 1, 6);
     service.kind = core::JobKind::service;
     run_on(c, machine, service, 1);
-    c.picture.apply(machine, c.now, c.now);
+    c.cluster_view.apply(machine, c.now, c.now);
     c.now += core::kBeginWithin * 2;
     ++machine.tick;
-    c.picture.apply(machine, c.now, c.now);
+    c.cluster_view.apply(machine, c.now, c.now);
     c.ledger.put_job(test::job("req-2", "x", 1, 4), 2);
     c.ledger.put_job(test::job("req-3", "x", 1, 1), 3);
-    core::FreeCapacity room = c.room();
-    const auto out = core::place(placement_input(c), room);
+    core::FreeCapacity capacity = c.free_capacity();
+    const auto out = core::place(placement_input(c), capacity);
     ASSERT_EQ(out.starts.size(), 1U);
     EXPECT_EQ(out.starts[0].job, "req-3");
 }
@@ -328,20 +328,20 @@
     c.ledger.put_job(test::job("req-1", "x", 1, 1), 1);
     const Micros doubt{26'000'000};
     const auto starts = [&c] {
-        core::FreeCapacity room = c.room();
-        return core::place(placement_input(c), room).starts.size();
+        core::FreeCapacity capacity = c.free_capacity();
+        return core::place(placement_input(c), capacity).starts.size();
     };
     auto machine = test::report("n-1", "small", "a");
-    c.picture.apply(machine, c.now, c.now, true, doubt);
+    c.cluster_view.apply(machine, c.now, c.now, true, doubt);
     EXPECT_EQ(starts(), 1U);
     ++machine.tick;
-    c.picture.apply(machine, c.now, c.now, false, doubt);
+    c.cluster_view.apply(machine, c.now, c.now, false, doubt);
     EXPECT_EQ(starts(), 1U);
     ++machine.tick;
     ++machine.session;
-    c.picture.apply(machine, c.now, c.now, false, doubt);
+    c.cluster_view.apply(machine, c.now, c.now, false, doubt);
     EXPECT_EQ(starts(), 0U);
-    c.picture.confirm("n-1");
+    c.cluster_view.confirm("n-1");
     EXPECT_EQ(starts(), 1U);
 }
 
--- a/tests/outage_cancel_test.cpp
+++ b/tests/outage_cancel_test.cpp
@@ -68,17 +68,19 @@
 }
 
 TEST(Placement, AMachineWhoseReportsNobodyAnswersTakesNothing) {
-    core::Picture picture;
+    core::ClusterView cluster_view;
     core::Ledger ledger;
     const core::Catalog catalog = test::catalog();
-    picture.apply(report_of_session(1, 1), kSecond, 50 * kSecond, true);
+    cluster_view.apply(report_of_session(1, 1), kSecond, 50 * kSecond, true);
     core::Availability availability;
     availability.now = kSecond;
     availability.silent_after = 5 * kSecond;
     availability.heard_since = 45 * kSecond;
-    EXPECT_TRUE(core::FreeCapacity::build(picture, ledger, catalog, availability).machines().front().usable);
+    EXPECT_TRUE(
+        core::FreeCapacity::build(cluster_view, ledger, catalog, availability).machines().front().usable);
     availability.heard_since = 55 * kSecond;
-    EXPECT_FALSE(core::FreeCapacity::build(picture, ledger, catalog, availability).machines().front().usable);
+    EXPECT_FALSE(
+        core::FreeCapacity::build(cluster_view, ledger, catalog, availability).machines().front().usable);
 }
 
 TEST(ToldCancels, ApplyOnceAndBringNothingBack) {
--- a/tests/pipeline_schedule_test.cpp
+++ b/tests/pipeline_schedule_test.cpp
@@ -38,7 +38,7 @@
 core::PlacementInput placement_input(const Cluster& cluster, const PipelineSchedule& pipelines) {
     core::PlacementInput input;
     input.ledger = &cluster.ledger;
-    input.picture = &cluster.picture;
+    input.cluster_view = &cluster.cluster_view;
     input.teams = &cluster.teams;
     input.objectives = &cluster.objectives;
     input.pipelines = &pipelines;
@@ -51,7 +51,7 @@
 core::FleetInput fleet_input(const Cluster& cluster, const PipelineSchedule& pipelines) {
     core::FleetInput input;
     input.ledger = &cluster.ledger;
-    input.picture = &cluster.picture;
+    input.cluster_view = &cluster.cluster_view;
     input.catalog = &cluster.types;
     input.teams = &cluster.teams;
     input.objectives = &cluster.objectives;
@@ -78,7 +78,7 @@
     task.attempt = 1;
     task.state = core::TaskState::running;
     report.tasks = {task};
-    cluster.picture.apply(report, cluster.now, cluster.now);
+    cluster.cluster_view.apply(report, cluster.now, cluster.now);
 }
 
 std::vector<std::string> queue_of(const Cluster& cluster, const PipelineSchedule* pipelines) {
@@ -399,7 +399,7 @@
     void queue(Priority priority) { cluster.ledger.put_job(ordinary_job("req-2", priority, 1, 4), 3); }
     core::PlacementResult place() const {
         const auto schedule = schedule_of(cluster);
-        core::FreeCapacity capacity = cluster.room();
+        core::FreeCapacity capacity = cluster.free_capacity();
         return core::place(placement_input(cluster, schedule), capacity);
     }
 };
@@ -482,9 +482,9 @@
             cluster.ledger.put_job(last, ++stamp);
         }
         const auto schedule = schedule_of(cluster);
-        core::FreeCapacity capacity = cluster.room();
+        core::FreeCapacity capacity = cluster.free_capacity();
         const auto result = core::place(placement_input(cluster, schedule), capacity);
-        // Guarantees count what the pass itself starts, and what it clears room for.
+        // Guarantees count what the pass itself starts, and what it clears capacity for.
         std::map<std::string, core::Amount> use;
         for (const auto& [name, team] : cluster.teams) use[name] = cluster.ledger.team_use(name);
         for (const auto& start : result.starts) {
@@ -522,8 +522,8 @@
             job.accepted = Micros{0};
             with.ledger.put_job(job, 1000);
         }
-        core::FreeCapacity capacity_with = with.room();
-        core::FreeCapacity capacity_without = without.room();
+        core::FreeCapacity capacity_with = with.free_capacity();
+        core::FreeCapacity capacity_without = without.free_capacity();
         const auto schedule = schedule_of(with);
         const auto result = core::place(placement_input(with, schedule), capacity_with);
         const PipelineSchedule none;
@@ -535,8 +535,8 @@
         }
         RC_ASSERT(result.stops.size() == expected.stops.size());
         RC_ASSERT(result.reservations.size() == expected.reservations.size());
-        RC_ASSERT(core::plan_rentals({}, fleet_input(with, schedule), with.room()) ==
-                  core::plan_rentals({}, fleet_input(without, none), without.room()));
+        RC_ASSERT(core::plan_rentals({}, fleet_input(with, schedule), with.free_capacity()) ==
+                  core::plan_rentals({}, fleet_input(without, none), without.free_capacity()));
     });
 }
 
@@ -554,7 +554,7 @@
     queued.accepted = Micros{2'000'000};
     cluster.ledger.put_job(queued, 4);
     const PipelineSchedule none;
-    core::FreeCapacity capacity = cluster.room();
+    core::FreeCapacity capacity = cluster.free_capacity();
     EXPECT_EQ(core::place(placement_input(cluster, none), capacity).stops.size(), 1U)
         << "the queued job has the whole guarantee";
 }
@@ -564,13 +564,13 @@
 TEST(PipelineRenting, AnInheritedDueLeavesLessSlack) {
     Cluster cluster;
     cluster.teams["x"] = {"x", 1000, 1000, 0, 0};
-    cluster.picture.apply(test::report("n-1", "small", "a"), cluster.now, cluster.now);
+    cluster.cluster_view.apply(test::report("n-1", "small", "a"), cluster.now, cluster.now);
     auto first = ordinary_job("req-1", Priority::best_effort, 100, 1);
     first.accepted = cluster.now;
     cluster.ledger.put_job(first, 1);
     const auto rented = [&] {
         const auto schedule = schedule_of(cluster);
-        return machines(core::plan_rentals({}, fleet_input(cluster, schedule), cluster.room()));
+        return machines(core::plan_rentals({}, fleet_input(cluster, schedule), cluster.free_capacity()));
     };
     const std::uint32_t alone = rented();
     auto last = waiting_job("req-2", Priority::best_effort, {"req-1"});
@@ -594,7 +594,8 @@
     const auto rented = [&](double ahead_s) {
         core::FleetSettings settings;
         settings.release_ahead_s = ahead_s;
-        return machines(core::plan_rentals(settings, fleet_input(cluster, schedule), cluster.room()));
+        return machines(
+            core::plan_rentals(settings, fleet_input(cluster, schedule), cluster.free_capacity()));
     };
     EXPECT_EQ(rented(0), 0U);
     EXPECT_EQ(rented(10), 0U) << "not released that soon";
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -12,7 +12,7 @@
 core::PlacementInput input(const Cluster& c) {
     core::PlacementInput in;
     in.ledger = &c.ledger;
-    in.picture = &c.picture;
+    in.cluster_view = &c.cluster_view;
     in.teams = &c.teams;
     in.objectives = &c.objectives;
     for (const auto& [name, t] : c.teams) in.own_teams.insert(name);
@@ -22,11 +22,11 @@
 }
 
 TEST(Placement, KeepsEveryRuleOnAnyCluster) {
-    holds("quota, room, type, zones, kind", [] {
+    holds("quota, free capacity, type, zones, kind", [] {
         const Cluster c = test::draw_cluster();
-        core::FreeCapacity room = c.room();
-        const core::FreeCapacity before = c.room();
-        const auto out = core::place(input(c), room);
+        core::FreeCapacity capacity = c.free_capacity();
+        const core::FreeCapacity before = c.free_capacity();
+        const auto out = core::place(input(c), capacity);
         std::map<std::string, core::Amount> use;
         std::map<std::string, core::Amount> free;
         for (const auto& [name, t] : c.teams) use[name] = c.ledger.team_use(name);
@@ -61,15 +61,15 @@
     Cluster c;
     c.teams["x"] = {"x", 8, 24, 0, 0};
     for (const char* id : {"n-1", "n-2", "n-3"})
-        c.picture.apply(test::report(id, "small", "a"), c.now, c.now);
+        c.cluster_view.apply(test::report(id, "small", "a"), c.now, c.now);
     c.ledger.put_job(test::job("req-1", "x", 2, 4), 1);
     core::Availability a;
     a.now = c.now;
     a.silent_after = Micros{10'000'000};
     a.draining = {"n-1"};
     a.candidates = {"n-2"};
-    core::FreeCapacity room = c.room(&a);
-    const auto out = core::place(input(c), room);
+    core::FreeCapacity capacity = c.free_capacity(&a);
+    const auto out = core::place(input(c), capacity);
     ASSERT_EQ(out.starts.size(), 2U);
     EXPECT_EQ(out.starts[0].attempt.machine, "n-3");
     EXPECT_EQ(out.starts[1].attempt.machine, "n-2");
@@ -79,11 +79,11 @@
     Cluster c;
     c.teams["x"] = {"x", 8, 24, 0, 0};
     for (const char* id : {"n-1", "n-2", "n-3"})
-        c.picture.apply(test::report(id, "small", "a", true), c.now, c.now);
-    c.picture.note_image("n-3", "img", 1, 20, c.now);
+        c.cluster_view.apply(test::report(id, "small", "a", true), c.now, c.now);
+    c.cluster_view.note_image("n-3", "img", 1, 20, c.now);
     c.ledger.put_job(test::job("req-1", "x", 1, 1), 1);
-    core::FreeCapacity room = c.room();
-    const auto out = core::place(input(c), room);
+    core::FreeCapacity capacity = c.free_capacity();
+    const auto out = core::place(input(c), capacity);
     ASSERT_EQ(out.starts.size(), 1U);
     EXPECT_EQ(out.starts[0].attempt.machine, "n-3");
 }
@@ -107,13 +107,13 @@
     EXPECT_EQ(core::queue_order(l, {"x"}, objectives, end).front()->job.id, "req-1");
 }
 
-// Each owner filled the room that was set free with its own queue, beyond its teams' guarantees, and the
+// Each owner filled the capacity that was set free with its own queue, beyond its teams' guarantees, and the
 // owner of a team that was owed it stopped that work again.
 TEST(Placement, WorkBeyondTheGuaranteeLeavesRoomThatAnotherTeamIsOwed) {
     Cluster c;
     c.teams["x"] = {"x", 4, 40, 0, 0};
     c.teams["y"] = {"y", 4, 40, 0, 0};
-    c.picture.apply(test::report("n-1", "big", "a"), c.now, c.now);
+    c.cluster_view.apply(test::report("n-1", "big", "a"), c.now, c.now);
     auto own = test::job("req-1", "x", 20, 1);  // more than the guarantee, so not within it
     own.accepted = c.now;
     c.ledger.put_job(own, 1);
@@ -121,15 +121,15 @@
     in.own_teams = {"x"};
     in.most_starts = 100;
     const auto starts = [&] {
-        core::FreeCapacity room = c.room();
-        return core::place(in, room).starts.size();
+        core::FreeCapacity capacity = c.free_capacity();
+        return core::place(in, capacity).starts.size();
     };
     EXPECT_EQ(starts(), 16U);
     auto owed = test::job("req-2", "y", 4, 1);
     owed.accepted = c.now;
     c.ledger.put_job(owed, 2);
     EXPECT_EQ(starts(), 12U);
-    // What has waited for long waits for something else than room.
+    // What has waited for long waits for something else than capacity.
     in.wall = c.now + Micros{61'000'000};
     EXPECT_EQ(starts(), 16U);
     // With all of it owed, an overdue job begins all the same, with one task.
@@ -162,7 +162,7 @@
         t.attempt = 1;
         t.state = core::TaskState::running;
         r.tasks.push_back(t);
-        c.picture.apply(r, c.now, c.now);
+        c.cluster_view.apply(r, c.now, c.now);
     };
     run("req-1", "n-1", c.now - Micros{95'000'000});
     run("req-2", "n-2", c.now);
@@ -170,8 +170,8 @@
     service.kind = core::JobKind::service;
     service.priority = core::Priority::production;
     c.ledger.put_job(service, ++stamp);
-    core::FreeCapacity room = c.room();
-    const auto out = core::place(input(c), room);
+    core::FreeCapacity capacity = c.free_capacity();
+    const auto out = core::place(input(c), capacity);
     ASSERT_EQ(out.stops.size(), 2U);  // it may be stopped, if there is nothing else
     EXPECT_EQ(out.stops[0].job, "req-2");
     EXPECT_EQ(out.stops[1].job, "req-1");
@@ -204,21 +204,21 @@
 TEST(Placement, AGangStartsWholeOrNotAtAll) {
     Cluster c;
     c.teams["x"] = {"x", 24, 24, 0, 0};
-    for (const char* id : {"n-1", "n-2"}) c.picture.apply(test::report(id, "small", "a"), c.now, c.now);
+    for (const char* id : {"n-1", "n-2"}) c.cluster_view.apply(test::report(id, "small", "a"), c.now, c.now);
     auto gang = test::job("req-1", "x", 3, 4);
     gang.kind = core::JobKind::gang;
     c.ledger.put_job(gang, 1);
-    core::FreeCapacity room = c.room();
-    EXPECT_TRUE(core::place(input(c), room).starts.empty());
-    c.picture.apply(test::report("n-3", "small", "b"), c.now, c.now);
-    room = c.room();
-    const auto out = core::place(input(c), room);
+    core::FreeCapacity capacity = c.free_capacity();
+    EXPECT_TRUE(core::place(input(c), capacity).starts.empty());
+    c.cluster_view.apply(test::report("n-3", "small", "b"), c.now, c.now);
+    capacity = c.free_capacity();
+    const auto out = core::place(input(c), capacity);
     ASSERT_EQ(out.starts.size(), 3U);
     for (const auto& s : out.starts) EXPECT_EQ(s.attempt.number, 1U);
     gang.one_zone = true;
     c.ledger.put_job(gang, 2);
-    room = c.room();
-    EXPECT_TRUE(core::place(input(c), room).starts.empty()) << "no zone holds three";
+    capacity = c.free_capacity();
+    EXPECT_TRUE(core::place(input(c), capacity).starts.empty()) << "no zone holds three";
 }
 
 // One machine, full of req-1's only task. Gives the machine's report and the job's record for what comes
@@ -230,7 +230,7 @@
     t.attempt = 1;
     t.state = core::TaskState::running;
     r.tasks = {t};
-    c.picture.apply(r, c.now, c.now);
+    c.cluster_view.apply(r, c.now, c.now);
     c.ledger.put_job(test::job("req-1", "x", 1, 4), 1);
     core::Chunk chunk;
     chunk.stamp = 2;
@@ -250,25 +250,25 @@
     service.spot = false;
     c.ledger.put_job(service, 3);
     auto in = input(c);
-    core::FreeCapacity room = c.room();
-    auto out = core::place(in, room);
+    core::FreeCapacity capacity = c.free_capacity();
+    auto out = core::place(in, capacity);
     ASSERT_EQ(out.stops.size(), 1U);
     EXPECT_TRUE(out.starts.empty());
     ASSERT_EQ(out.reservations.size(), 1U);
     // While the stop is under way nothing more is stopped for it.
     in.reservations = out.reservations;
-    room = c.room();
-    out = core::place(in, room);
+    capacity = c.free_capacity();
+    out = core::place(in, capacity);
     EXPECT_TRUE(out.stops.empty());
-    // The victim has ended: the room is the service's, though the victim is queued too.
+    // The victim has ended: the capacity is the service's, though the victim is queued too.
     chunk.stamp = 4;
     chunk.open.clear();
     c.ledger.put_chunk("req-1", 0, chunk);
     r.tasks.clear();
     r.tick = 2;
-    c.picture.apply(r, c.now, c.now);
-    room = c.room();
-    out = core::place(in, room);
+    c.cluster_view.apply(r, c.now, c.now);
+    capacity = c.free_capacity();
+    out = core::place(in, capacity);
     ASSERT_EQ(out.starts.size(), 1U);
     EXPECT_EQ(out.starts[0].job, "req-2");
 }
@@ -279,11 +279,11 @@
     c.teams["y"] = {"y", 4, 24, 0, 0};
     occupy(c);
     c.ledger.put_job(test::job("req-2", "y", 2, 4), 3);
-    core::FreeCapacity room = c.room();
-    EXPECT_TRUE(core::place(input(c), room).stops.empty());
+    core::FreeCapacity capacity = c.free_capacity();
+    EXPECT_TRUE(core::place(input(c), capacity).stops.empty());
     c.ledger.put_job(test::job("req-2", "y", 1, 4), 4);
-    room = c.room();
-    EXPECT_EQ(core::place(input(c), room).stops.size(), 1U) << "within its guarantee it need not wait";
+    capacity = c.free_capacity();
+    EXPECT_EQ(core::place(input(c), capacity).stops.size(), 1U) << "within its guarantee it need not wait";
 }
 
 // A team beyond its guarantee but with higher priority, and one within its guarantee, once stopped each
@@ -306,13 +306,13 @@
         t.attempt = 1;
         t.state = core::TaskState::running;
         r.tasks = {t};
-        c.picture.apply(r, c.now, c.now);
+        c.cluster_view.apply(r, c.now, c.now);
         core::Chunk chunk;
         chunk.stamp = 3;
         chunk.open[0] = {1, "n-1", 1};
         c.ledger.put_chunk(running, 0, chunk);
-        core::FreeCapacity room = c.room();
-        EXPECT_EQ(core::place(input(c), room).stops.size(), higher_runs ? 1U : 0U);
+        core::FreeCapacity capacity = c.free_capacity();
+        EXPECT_EQ(core::place(input(c), capacity).stops.size(), higher_runs ? 1U : 0U);
     }
 }
 
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -11,7 +11,7 @@
 core::DrainInput drain_input(const Cluster& c) {
     core::DrainInput in;
     in.ledger = &c.ledger;
-    in.picture = &c.picture;
+    in.cluster_view = &c.cluster_view;
     in.now = c.now;
     return in;
 }
@@ -19,7 +19,7 @@
 core::FleetInput fleet_input(const Cluster& c) {
     core::FleetInput in;
     in.ledger = &c.ledger;
-    in.picture = &c.picture;
+    in.cluster_view = &c.cluster_view;
     in.catalog = &c.types;
     in.teams = &c.teams;
     in.objectives = &c.objectives;
@@ -27,9 +27,9 @@
     return in;
 }
 
-// A room that remembers the last one's sums is the room that is built from nothing, whatever has changed.
+// Free capacity that remembers the last one's sums is what is built from nothing, whatever has changed.
 TEST(FreeCapacity, WithMemoryIsTheSameAsWithout) {
-    holds("same room", [] {
+    holds("same free capacity", [] {
         Cluster c = test::draw_cluster();
         core::FreeCapacityCache memory;
         core::Availability plain;
@@ -38,8 +38,8 @@
         core::Stamp stamp = 1000;
         std::uint64_t tick = 1;
         for (int round = 0; round < 6; ++round) {
-            const auto a = core::FreeCapacity::build(c.picture, c.ledger, c.types, plain);
-            const auto b = core::FreeCapacity::build(c.picture, c.ledger, c.types, plain, &memory);
+            const auto a = core::FreeCapacity::build(c.cluster_view, c.ledger, c.types, plain);
+            const auto b = core::FreeCapacity::build(c.cluster_view, c.ledger, c.types, plain, &memory);
             RC_ASSERT(a.machines().size() == b.machines().size());
             for (std::size_t i = 0; i < a.machines().size(); ++i) {
                 RC_ASSERT(a.machines()[i].id == b.machines()[i].id);
@@ -52,14 +52,14 @@
             const std::string id = m.id;
             switch (*rc::gen::inRange(0, 4)) {
                 case 0:
-                    c.picture.release(id);
+                    c.cluster_view.release(id);
                     break;
                 case 1: {  // a task ends, or the session does
-                    auto r = c.picture.find(id)->last;
+                    auto r = c.cluster_view.find(id)->last;
                     r.tick = ++tick;
                     if (!r.tasks.empty()) r.tasks.front().state = core::TaskState::exited;
                     if (*rc::gen::arbitrary<bool>()) ++r.session;
-                    c.picture.apply(r, c.now, c.now);
+                    c.cluster_view.apply(r, c.now, c.now);
                     break;
                 }
                 case 2:
@@ -88,15 +88,15 @@
         core::DrainSettings s;
         s.fleet_minimum = static_cast<std::size_t>(*rc::gen::inRange(0, 3));
         core::DrainState state;
-        const core::FreeCapacity room = c.room();
-        (void)core::plan_drains(s, drain_input(c), room, state);
+        const core::FreeCapacity capacity = c.free_capacity();
+        (void)core::plan_drains(s, drain_input(c), capacity, state);
         RC_TAG(state.candidate_since.size());
-        RC_ASSERT(room.machines().size() - state.candidate_since.size() >=
-                  std::min(s.fleet_minimum, room.machines().size()));
-        // Every task on a candidate has a destination that stays, allows it, and has the room for all of
+        RC_ASSERT(capacity.machines().size() - state.candidate_since.size() >=
+                  std::min(s.fleet_minimum, capacity.machines().size()));
+        // Every task on a candidate has a destination that stays, allows it, and has the capacity for all of
         // them.
         std::map<std::string, core::Amount> free;
-        for (const auto& m : room.machines()) free[m.id] = m.free;
+        for (const auto& m : capacity.machines()) free[m.id] = m.free;
         std::map<std::string, core::ZoneUse> zones;
         std::vector<std::tuple<const core::JobEntry*, std::string, std::string>> moves;
         for (const auto& [id, since] : state.candidate_since) {
@@ -106,12 +106,12 @@
                 RC_ASSERT(state.destinations.contains(ref));
                 const auto& to = state.destinations.at(ref);
                 RC_ASSERT(!state.candidate_since.contains(to));
-                RC_ASSERT(core::may_run_on(e.job, *room.find(to)));
+                RC_ASSERT(core::may_run_on(e.job, *capacity.find(to)));
                 free[to] -= e.job.need;
                 RC_ASSERT(free[to].cpus >= -1e-6);
-                auto& z = zones.try_emplace(ref.job, core::ZoneUse::of(e, room)).first->second;
-                z.remove(room.find(id)->zone);
-                z.add(room.find(to)->zone);
+                auto& z = zones.try_emplace(ref.job, core::ZoneUse::of(e, capacity)).first->second;
+                z.remove(capacity.find(id)->zone);
+                z.add(capacity.find(to)->zone);
             }
         }
         for (const auto& [id, z] : zones) {
@@ -121,9 +121,9 @@
                 if (j.one_zone && n > 0) RC_ASSERT(n == z.total);
             }
         }
-        // The caller's room is untouched: trials leave no trace.
-        const core::FreeCapacity again = c.room();
-        for (const auto& m : room.machines())
+        // The caller's free capacity is untouched: trials leave no trace.
+        const core::FreeCapacity again = c.free_capacity();
+        for (const auto& m : capacity.machines())
             RC_ASSERT(std::abs(m.free.cpus - again.find(m.id)->free.cpus) < 1e-9);
     });
 }
@@ -131,18 +131,18 @@
 TEST(DrainPlanner, RevertedTrialsLeaveNoTrace) {
     holds("take, give, revert", [] {
         const Cluster c = test::draw_cluster();
-        core::FreeCapacity room = c.room();
+        core::FreeCapacity capacity = c.free_capacity();
         std::vector<double> before;
-        for (const auto& m : room.machines()) before.push_back(m.free.cpus);
-        const auto mark = room.mark();
+        for (const auto& m : capacity.machines()) before.push_back(m.free.cpus);
+        const auto mark = capacity.mark();
         const int n = *rc::gen::inRange(0, 30);
         for (int i = 0; i < n; ++i) {
-            const auto at = *rc::gen::inRange<std::size_t>(0, room.machines().size());
-            room.take(at, {static_cast<double>(*rc::gen::inRange(-3, 4)), 0, 1});
+            const auto at = *rc::gen::inRange<std::size_t>(0, capacity.machines().size());
+            capacity.take(at, {static_cast<double>(*rc::gen::inRange(-3, 4)), 0, 1});
         }
-        room.revert(mark);
+        capacity.revert(mark);
         for (std::size_t i = 0; i < before.size(); ++i)
-            RC_ASSERT(std::abs(room.machines()[i].free.cpus - before[i]) < 1e-9);
+            RC_ASSERT(std::abs(capacity.machines()[i].free.cpus - before[i]) < 1e-9);
     });
 }
 
@@ -165,7 +165,7 @@
             a.now = c.now;
             a.silent_after = Micros{1'000'000'000};
             a.draining = draining;
-            const auto out = core::plan_drains(s, in, fresh.room(&a), state);
+            const auto out = core::plan_drains(s, in, fresh.free_capacity(&a), state);
             std::map<std::string, Micros> next;
             for (const auto& [id, since] : state.candidate_since) {
                 const auto old = first.find(id);
@@ -192,39 +192,40 @@
 
 TEST(DrainPlanner, HoldsBackWhileAStoppedTaskHasNoPlace) {
     Cluster c;
-    c.picture.apply(test::report("n-1", "small", "a"), c.now, c.now);
-    c.picture.apply(test::report("n-2", "small", "a"), c.now, c.now);
+    c.cluster_view.apply(test::report("n-1", "small", "a"), c.now, c.now);
+    c.cluster_view.apply(test::report("n-2", "small", "a"), c.now, c.now);
     c.ledger.put_job(test::job("req-1", "x", 3, 4), 1);
     core::DrainState state;
     const auto in = drain_input(c);
-    EXPECT_FALSE(core::plan_drains({}, in, c.room(), state).held);
+    EXPECT_FALSE(core::plan_drains({}, in, c.free_capacity(), state).held);
     EXPECT_EQ(state.candidate_since.size(), 1U);
     for (std::uint32_t t = 0; t < 3; ++t) state.recent_stops[{"req-1", t}] = c.now;
-    EXPECT_TRUE(core::plan_drains({}, in, c.room(), state).held);
+    EXPECT_TRUE(core::plan_drains({}, in, c.free_capacity(), state).held);
     EXPECT_TRUE(state.candidate_since.empty());
 }
 
 TEST(DrainPlanner, GivesBackTheDearestOfEquals) {
     Cluster c;
-    c.picture.apply(test::report("n-1", "small", "a", true), c.now, c.now);
-    c.picture.apply(test::report("n-2", "small", "a", false), c.now, c.now);
-    c.picture.apply(test::report("n-3", "small", "a", true), c.now, c.now);
+    c.cluster_view.apply(test::report("n-1", "small", "a", true), c.now, c.now);
+    c.cluster_view.apply(test::report("n-2", "small", "a", false), c.now, c.now);
+    c.cluster_view.apply(test::report("n-3", "small", "a", true), c.now, c.now);
     core::DrainSettings s;
     s.total_cap = 1;
     s.unneeded = Micros{0};
     core::DrainState state;
-    EXPECT_EQ(core::plan_drains(s, drain_input(c), c.room(), state).empty, std::vector<std::string>{"n-2"});
+    EXPECT_EQ(core::plan_drains(s, drain_input(c), c.free_capacity(), state).empty,
+              std::vector<std::string>{"n-2"});
 }
 
 TEST(DrainPlanner, StopsAtItsTimeBound) {
     Cluster c;
     for (int i = 0; i < 5; ++i)
-        c.picture.apply(test::report("n-" + std::to_string(i), "small", "a"), c.now, c.now);
+        c.cluster_view.apply(test::report("n-" + std::to_string(i), "small", "a"), c.now, c.now);
     core::DrainState state;
     auto in = drain_input(c);
     int left = 2;
     in.out_of_time = [&] { return left-- <= 0; };
-    (void)core::plan_drains({}, in, c.room(), state);
+    (void)core::plan_drains({}, in, c.free_capacity(), state);
     EXPECT_EQ(state.candidate_since.size(), 2U);
 }
 
@@ -252,9 +253,9 @@
     j.estimate_s = 1;
     c.ledger.put_job(j, 1);
     auto in = fleet_input(c);
-    EXPECT_EQ(core::plan_rentals({}, in, c.room()).size(), 1U);
-    c.picture.apply(test::report("n-1", "small", "a"), c.now, c.now);
-    EXPECT_TRUE(core::plan_rentals({}, in, c.room()).empty());
+    EXPECT_EQ(core::plan_rentals({}, in, c.free_capacity()).size(), 1U);
+    c.cluster_view.apply(test::report("n-1", "small", "a"), c.now, c.now);
+    EXPECT_TRUE(core::plan_rentals({}, in, c.free_capacity()).empty());
 }
 
 TEST(FleetPlanner, RentsForServicesLessWhatIsBooting) {
@@ -268,7 +269,7 @@
     auto in = fleet_input(c);
     const auto count = [&] {
         std::uint32_t n = 0;
-        for (const auto& [pool, k] : core::plan_rentals({}, in, c.room())) {
+        for (const auto& [pool, k] : core::plan_rentals({}, in, c.free_capacity())) {
             EXPECT_FALSE(pool.spot) << "the job may not run on spot machines";
             n += k;
         }
@@ -282,7 +283,7 @@
     in.booting = {b};
     EXPECT_EQ(count(), 1U);
     in.refused_until[{"small", "a", false}] = c.now + Micros{1'000'000};
-    for (const auto& [pool, k] : core::plan_rentals({}, in, c.room())) EXPECT_EQ(pool.zone, "b");
+    for (const auto& [pool, k] : core::plan_rentals({}, in, c.free_capacity())) EXPECT_EQ(pool.zone, "b");
 }
 
 }  // namespace
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -60,7 +60,7 @@
 TEST(LateCopies, ChangeNothingThatANewerReportSaid) {
     holds("copies in any order", [] {
         const auto history = draw_history("n-1");
-        core::Picture p;
+        core::ClusterView p;
         std::size_t newest = 0;
         Micros now{1'000'000};
         Micros changed{};
@@ -100,38 +100,38 @@
     c.ledger.put_job(test::job("req-1", "x", 1, 1), 1);
     core::PlacementInput in;
     in.ledger = &c.ledger;
-    in.picture = &c.picture;
+    in.cluster_view = &c.cluster_view;
     in.teams = &c.teams;
     in.objectives = &c.objectives;
     in.own_teams = {"x"};
     in.now = in.wall = c.now;
     const auto starts = [&] {
-        core::FreeCapacity room = c.room();
-        return core::place(in, room).starts.size();
+        core::FreeCapacity capacity = c.free_capacity();
+        return core::place(in, capacity).starts.size();
     };
     // Nobody here knows this machine: its report may be a minute old, and the machine gone.
-    c.picture.apply(test::report("n-1", "small", "a"), c.now, c.now, false, kDoubt);
+    c.cluster_view.apply(test::report("n-1", "small", "a"), c.now, c.now, false, kDoubt);
     EXPECT_EQ(starts(), 0U);
     auto copy = test::report("n-1", "small", "a");
     copy.tick = 7;
-    c.picture.apply(copy, c.now, c.now, false, kDoubt);
+    c.cluster_view.apply(copy, c.now, c.now, false, kDoubt);
     EXPECT_EQ(starts(), 0U) << "two copies prove no more than one";
     auto answer = copy;
     answer.tick = 9;
-    c.picture.apply(answer, c.now, c.now, true, kDoubt);
+    c.cluster_view.apply(answer, c.now, c.now, true, kDoubt);
     EXPECT_EQ(starts(), 1U);
     // Heard again after a long silence: it may be the last word of a machine that died then.
     c.now += kDoubt * 2;
     in.now = in.wall = c.now;
     copy.tick = 11;
-    c.picture.apply(copy, c.now, c.now, false, kDoubt);
+    c.cluster_view.apply(copy, c.now, c.now, false, kDoubt);
     EXPECT_EQ(starts(), 0U);
-    c.picture.confirm("n-1");
+    c.cluster_view.confirm("n-1");
     EXPECT_EQ(starts(), 1U);
 }
 
 TEST(LateCopies, MemoryOfReleasedMachinesIsBoundedAndWhatIsForgottenIsNotUsed) {
-    core::Picture p;
+    core::ClusterView p;
     const auto name = [](int i) { return "n-" + std::to_string(100000 + i); };
     for (int i = 0; i < 20000; ++i) p.release(name(i));
     EXPECT_TRUE(p.released(name(19999)));
@@ -147,8 +147,8 @@
 TEST(Mesh, ShortReportsNeverHideAMissedChange) {
     holds("lossy stream of whole and short reports", [] {
         const auto history = draw_history("n-1");
-        core::Picture source;
-        core::Picture mirror;
+        core::ClusterView source;
+        core::ClusterView mirror;
         Micros now{1'000'000};
         std::map<std::pair<std::uint64_t, std::uint64_t>, core::WorkerReport> truth;
         for (const auto& r : history) {
@@ -271,19 +271,19 @@
             commit();
             for (auto& [id, r] : reports) {
                 ++r.tick;
-                c.picture.apply(r, c.now, c.now);
+                c.cluster_view.apply(r, c.now, c.now);
             }
             core::PlacementInput in;
             in.ledger = &c.ledger;
-            in.picture = &c.picture;
+            in.cluster_view = &c.cluster_view;
             in.teams = &c.teams;
             in.objectives = &c.objectives;
             in.own_teams = {"x", "y"};
             in.now = in.wall = c.now;
             in.reservations = reservations;
             in.most_stops = 0;
-            core::FreeCapacity room = c.room();
-            auto out = core::place(in, room);
+            core::FreeCapacity capacity = c.free_capacity();
+            auto out = core::place(in, capacity);
             reservations = std::move(out.reservations);
             for (const auto& s : out.starts) {
                 auto& chunk = record(s.job, 0);
@@ -301,7 +301,7 @@
                     std::string why;
                     for (const auto& [ref, r] : reservations)
                         why += " hold " + ref.job + "/" + std::to_string(ref.task) + "@" + r.machine;
-                    const core::FreeCapacity now_free = c.room();
+                    const core::FreeCapacity now_free = c.free_capacity();
                     for (const auto& m : now_free.machines())
                         why += " free " + m.id + "=" + std::to_string(m.free.cpus);
                     RC_FAIL(id + " has not begun: " + std::to_string(j.need.cpus) + " CPUs x " +
--- a/tests/support.hpp
+++ b/tests/support.hpp
@@ -6,10 +6,10 @@
 
 #include <string>
 
+#include "core/cluster_view.hpp"
 #include "core/drain_planner.hpp"
 #include "core/fleet_planner.hpp"
 #include "core/ledger.hpp"
-#include "core/picture.hpp"
 #include "core/placement.hpp"
 
 namespace hatchwind::test {
@@ -71,14 +71,14 @@
     std::map<std::string, core::Team> teams;
     std::vector<core::Objective> objectives;
     core::Ledger ledger;
-    core::Picture picture;
+    core::ClusterView cluster_view;
     core::Micros now{100'000'000};
 
-    core::FreeCapacity room(const core::Availability* a = nullptr) const {
+    core::FreeCapacity free_capacity(const core::Availability* a = nullptr) const {
         core::Availability plain;
         plain.now = now;
         plain.silent_after = core::Micros{10'000'000};
-        return core::FreeCapacity::build(picture, ledger, types, a == nullptr ? plain : *a);
+        return core::FreeCapacity::build(cluster_view, ledger, types, a == nullptr ? plain : *a);
     }
 };
 
@@ -133,7 +133,7 @@
         chunk.stamp = ++stamp;
         if (!chunk.open.empty()) c.ledger.put_chunk(j.id, 0, chunk);
     }
-    for (const auto& [id, r] : reports) c.picture.apply(r, c.now, c.now);
+    for (const auto& [id, r] : reports) c.cluster_view.apply(r, c.now, c.now);
     return c;
 }
 
--- a/tests/user_answers_test.cpp
+++ b/tests/user_answers_test.cpp
@@ -528,7 +528,7 @@
             const bool starts = writes.find("req-2/0") != std::string::npos;
             return refuse && starts ? Treatment::refuse : Treatment::carry_out;
         };
-        // Nearly the team's limit, with room beside it on the machines.
+        // Nearly the team's limit, with free capacity beside it on the machines.
         {
             Json body = Site::submission("req-2", "x", "sweep", 17);
             body["cores"] = 0.9;
