Share the state service's writes max-min fairly

Change: nodes whose members all announce it take max-min fair parts; beside an earlier version the old parts stay.

--- a/src/core/epoch.hpp
+++ b/src/core/epoch.hpp
@@ -40,7 +40,10 @@
 // What a version of the program understands, as bits. A node tells them in its key and in heartbeats, so that
 // nothing is stored that another node would misread.
 constexpr std::uint64_t kKnowsWaitingJobs = 1;
-constexpr std::uint64_t kCapabilities = kKnowsWaitingJobs;
+// Takes its part of the state service's writes by core/fair_share.hpp; earlier versions in proportion to
+// demand.
+constexpr std::uint64_t kSharesWritesFairly = 2;
+constexpr std::uint64_t kCapabilities = kKnowsWaitingJobs | kSharesWritesFairly;
 
 struct NodeRecord {
     std::uint64_t grant = 0;
--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <array>
 #include <iterator>
+#include <numeric>
+
+#include "core/fair_share.hpp"
 
 namespace hatchwind::service {
 
@@ -19,6 +22,12 @@
 constexpr Micros kHeartbeatInterval{500'000};
 constexpr Micros kSilence{4'000'000};
 constexpr Micros kUnconfirmed{3'000'000};
+constexpr double kDemandUnitsPerWrite = 10;  // heartbeats tell tenths of a write
+// Demands are means over seconds; what a node wants comes in bursts.
+constexpr double kDemandHeadroom = 1.5;
+constexpr double kIdleWrites = 0.5;  // a second, for what a node without demand may have to write next
+constexpr double kLeastDemand = 0.1;
+constexpr double kEvenShare = 0.1;
 }  // namespace
 
 Mesh::Mesh(Node& n, Membership& m) : node_(n), membership_(m), listener_(n.loop, n.settings.mesh) {
@@ -241,7 +250,7 @@
     for (const auto& [label, link] : links_) {
         if (node_.peer_fresh(label, steady_now())) b.hears.push_back(label);
     }
-    b.demand = static_cast<std::uint64_t>(node_.state.demand() * 10);
+    b.demand = static_cast<std::uint64_t>(node_.state.demand() * kDemandUnitsPerWrite);
     b.workers = node_.workers_here();
     for (const auto& [machine, suspect] : node_.suspects) {
         if (suspect.since.count() != 0 && steady_now() - suspect.since > Micros{3'000'000} && node_.fit) {
@@ -285,17 +294,43 @@
     }
 }
 
+bool Mesh::everyone_shares_fairly() const {
+    const auto& members = node_.epoch.members;
+    return std::all_of(members.begin(), members.end(), [&](const core::Member& member) {
+        if (member.label == node_.self.label) return true;
+        const auto peer = node_.peers.find(member.label);
+        return peer != node_.peers.end() && peer->second.heartbeat.grant == member.grant &&
+               (peer->second.heartbeat.capabilities & core::kSharesWritesFairly) != 0;
+    });
+}
+
+std::vector<double> Mesh::write_demands() const {
+    std::vector<double> demands{node_.state.demand()};
+    for (const auto& member : node_.epoch.members) {
+        if (member.label == node_.self.label || !node_.peer_fresh(member.label, steady_now())) continue;
+        const wire::MeshHeartbeat& heartbeat = node_.peers.at(member.label).heartbeat;
+        demands.push_back(static_cast<double>(heartbeat.demand) / kDemandUnitsPerWrite);
+    }
+    return demands;
+}
+
+// The state service's write limit goes to those that have something to write: with fewer teams than nodes,
+// equal parts leave most of it unused. In proportion to what each wants, though, a node whose tasks end by
+// the dozen left others so little that each pass of theirs waited two seconds for its writes.
 void Mesh::share_writes() {
-    // The store's write limit goes to those that have something to write: with fewer teams than nodes, equal
-    // parts leave most of it unused.
-    const double nodes = static_cast<double>(std::max<std::size_t>(node_.epoch.members.size(), 1));
-    const double mine = node_.state.demand() + 0.1;
-    double all = mine;
-    for (const auto& m : node_.epoch.members) {
-        if (m.label == node_.self.label || !node_.peer_fresh(m.label, steady_now())) continue;
-        all += static_cast<double>(node_.peers[m.label].heartbeat.demand) / 10 + 0.1;
+    std::vector<double> demands = write_demands();
+    const std::size_t nodes = std::max<std::size_t>(node_.epoch.members.size(), 1);
+    if (everyone_shares_fairly()) {
+        for (double& demand : demands) demand = demand * kDemandHeadroom + kIdleWrites;
+        const double capacity = node_.state.write_capacity();
+        node_.state.share(nodes, core::max_min_share(demands, 0, capacity) / capacity);
+        return;
     }
-    node_.state.share(node_.epoch.members.size(), 0.1 / nodes + 0.9 * mine / all);
+    // As the earlier version does, so that the parts of all add up to the limit.
+    for (double& demand : demands) demand += kLeastDemand;
+    const double sum = std::accumulate(demands.begin(), demands.end(), 0.0);
+    const double even = kEvenShare / static_cast<double>(nodes);
+    node_.state.share(nodes, even + (1 - kEvenShare) * demands.front() / sum);
 }
 
 }  // namespace hatchwind::service
--- a/src/service/mesh.hpp
+++ b/src/service/mesh.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "service/membership.hpp"
 #include "service/node.hpp"
@@ -26,7 +27,7 @@
         std::string out;  // frames that wait; bounded
         io::Signal filled;
         bool connected = false;
-        bool missed = false;              // something found no room in the queue
+        bool missed = false;              // the queue was full for something
         io::Micros answered_until{0};     // the table told on this connection goes so far
         std::uint64_t released_told = 0;  // likewise the log of releases
         io::Micros confirmed{0};  // steady: when the peer last said that it hears us, or the link was made
@@ -41,11 +42,15 @@
     wire::MeshHeartbeat common_heartbeat();
     // Adds what this peer has not been told yet, and sends it.
     void tell(Link& link, wire::MeshHeartbeat& b, const std::vector<wire::CancelNotice>& cancels);
-    // False when the link has no room for it, or no connection.
+    // False when the queue of the link is full, or no connection.
     bool push(Link& link, const wire::MeshMessage& m) const;
     bool push(Link& link, const std::string& frame) const;
     void fill(Link& link) const;
+    // Sets this node's part of the state service's writes.
     void share_writes();
+    bool everyone_shares_fairly() const;
+    // Writes a second that the members want, this node's first.
+    std::vector<double> write_demands() const;
     static wire::MeshReport describe(const core::MachineView& v, io::Micros heard);
 
     Node& node_;
--- a/src/service/state_client.cpp
+++ b/src/service/state_client.cpp
@@ -13,6 +13,8 @@
 namespace {
 constexpr Micros kCall{2'000'000};
 constexpr double kUsersPart = 0.1;  // of the write limit
+// A little below the limits: other nodes' bursts fall into the same second.
+constexpr double kUsedOfWriteLimit = 0.92;
 }  // namespace
 
 StateClient::StateClient(io::Loop& loop, const Settings& s)
@@ -22,9 +24,8 @@
 
 void StateClient::share(std::size_t nodes, double writes) {
     const double n = static_cast<double>(std::max<std::size_t>(nodes, 1));
-    // A little below the limits: other nodes' bursts fall into the same second.
     requests_.set(settings_.state_rps * 0.9 / n, std::max(4.0, settings_.state_rps * 0.5 / n));
-    const double rate = settings_.state_write_rps * 0.92 * (1 - kUsersPart) * writes;
+    const double rate = write_capacity() * writes;
     writes_.set(rate, std::max(4.0, rate * 0.9));
     // Users' acceptances and cancels have a part of their own: behind an owner's transaction of dozens of
     // writes one that takes milliseconds waited for seconds.
@@ -32,6 +33,10 @@
     user_writes_.set(users, std::max(3.0, users * 3));
 }
 
+double StateClient::write_capacity() const {
+    return settings_.state_write_rps * kUsedOfWriteLimit * (1 - kUsersPart);
+}
+
 void StateClient::want(double writes) {
     const Micros now = steady_now();
     if (demand_at_.count() != 0)
--- a/src/service/state_client.hpp
+++ b/src/service/state_client.hpp
@@ -60,6 +60,8 @@
     double demand() const { return demand_ / kDemandSpan + backlog_; }
     double spare_writes();
     double write_rate() const { return writes_.rate(); }
+    // Writes a second that all nodes together may make, less what users' requests are kept for.
+    double write_capacity() const;
     bool reachable(io::Micros now) const;
     io::Micros last_ok() const { return last_ok_; }
     io::Micros failing_since() const { return failing_since_; }
