Bounds at 4,000 machines: released names kept by time, sockets, batches

A request that found no socket of this node's own counted the machine as silent; asking is bounded by the sockets. Starts of earlier epochs are forgotten once an epoch and not with each order beyond 4,096. Machines that the cloud's list lost are released several calls at a time. The listen queue is as long as the system allows, and the mesh takes four connections of each peer. Tests: ReleasedMachines, Http.ACallThatFoundNoFreeSocketSaysSo, MeshCodec.AHeartbeatOfALargeFleetFitsAFrame; FleetSize now at 4,000.

--- a/src/core/cluster_view.cpp
+++ b/src/core/cluster_view.cpp
@@ -79,13 +79,9 @@
     }
 }
 
-void ClusterView::release(const std::string& machine) {
+void ClusterView::release(const std::string& machine, Micros steady) {
     machines_.erase(machine);
-    if (!released_.insert(machine).second) return;
-    released_order_.push_back(machine);
-    if (released_order_.size() <= kReleasedKept) return;
-    released_.erase(released_order_.front());
-    released_order_.pop_front();
+    released_.add(machine, steady);
 }
 
 void ClusterView::confirm(const std::string& machine) {
--- a/src/core/cluster_view.hpp
+++ b/src/core/cluster_view.hpp
@@ -3,16 +3,15 @@
 #pragma once
 
 #include <algorithm>
-#include <deque>
 #include <map>
 #include <string>
 #include <tuple>
 #include <unordered_map>
-#include <unordered_set>
 #include <vector>
 
 #include "core/ledger.hpp"
 #include "core/model.hpp"
+#include "core/released_machines.hpp"
 
 namespace hatchwind::core {
 
@@ -56,7 +55,8 @@
     void note_image(const std::string& machine, const std::string& image, double gb, double cache_gb,
                     Micros steady);
     // The cloud has confirmed that the machine is gone, for good.
-    void release(const std::string& machine);
+    void release(const std::string& machine, Micros steady);
+    const ReleasedMachines& released_machines() const { return released_; }
     bool released(const std::string& machine) const { return released_.contains(machine); }
     // A report without news of its tasks, told by another node. False when this node has not seen the tasks
     // it speaks of: then it must wait for a whole report.
@@ -71,12 +71,8 @@
     void forget(const std::string& machine) { machines_.erase(machine); }
 
   private:
-    // Names of released machines are kept for their late reports. Those of names that fell out come back as
-    // machines that never answer: they are not used, and released once more.
-    static constexpr std::size_t kReleasedKept = 8192;
     std::map<std::string, MachineView> machines_;
-    std::unordered_set<std::string> released_;
-    std::deque<std::string> released_order_;
+    ReleasedMachines released_;
 };
 
 enum class Fate : std::uint8_t {
--- a/src/io/http.cpp
+++ b/src/io/http.cpp
@@ -280,6 +280,7 @@
         const bool some = co_await closed_.wait(deadline);
         if (!some) {
             reply.never_sent = true;
+            reply.pool_exhausted = true;
             co_return reply;
         }
         socket = take_idle(to);
--- a/src/io/http.hpp
+++ b/src/io/http.hpp
@@ -71,6 +71,9 @@
     int retry_after_s = 0;
     bool too_large = false;   // with status 0: it was answered, beyond the limit
     bool never_sent = false;  // with status 0: the other side cannot have seen it
+    // With never_sent: all of the client's own sockets were in use until the deadline. It says nothing about
+    // the other side.
+    bool pool_exhausted = false;
 };
 
 class HttpClient {
@@ -83,6 +86,7 @@
     // Closes the idle connections to somebody who is gone: their sockets count against the machine's limit.
     void forget(Address to);
     std::size_t open_connections() const { return in_use_ + idle_.size(); }
+    std::size_t most_connections() const { return most_; }
 
   private:
     struct Idle {
--- a/src/io/tcp.cpp
+++ b/src/io/tcp.cpp
@@ -118,7 +118,8 @@
         const int one = 1;
         ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
         const auto addr = to_sockaddr(at);
-        if (::bind(fd, reinterpret_cast<const sockaddr*>(&addr), sizeof addr) != 0 || ::listen(fd, 256) != 0)
+        if (::bind(fd, reinterpret_cast<const sockaddr*>(&addr), sizeof addr) != 0 ||
+            ::listen(fd, SOMAXCONN) != 0)
             throw std::system_error(errno, std::generic_category(), "listen");
         return acceptor;
     }
--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -92,12 +92,9 @@
     const RentalList::Reading reading = co_await std::move(task);
     if (!reading.whole) co_return reading.rentals.size();
     rentals_.take(reading.rentals);
-    std::vector<std::string> vanished = vanished_machines();
-    if (!vanished.empty()) {
-        // The cloud ignores names it does not know, and its answer makes their end certain.
-        auto released = release(std::move(vanished));
-        co_await std::move(released);
-    }
+    // The cloud ignores names it does not know, and its answer makes their end certain.
+    auto releasing = release_in_batches(vanished_machines());
+    co_await std::move(releasing);
     list_fresh_ = true;
     node_.fleet_work.notify_all();
     co_return reading.rentals.size();
@@ -112,7 +109,6 @@
     for (const auto& [machine, view] : node_.cluster_view.machines()) {
         if (!rentals_.contains(machine) && now - view.changed > settled) vanished.push_back(machine);
     }
-    if (vanished.size() > kMostReleased) vanished.resize(kMostReleased);
     return vanished;
 }
 
@@ -128,6 +124,19 @@
     }
 }
 
+// Half a second of the cloud's calls at the most: what is left shows again with the next list.
+Task<void> Leader::release_in_batches(std::vector<std::string> machines) {
+    const auto most_calls = std::max<std::size_t>(1, static_cast<std::size_t>(node_.settings.cloud_rps / 2));
+    for (std::size_t call = 0; call < most_calls && !machines.empty(); ++call) {
+        const std::size_t left = machines.size() - std::min(machines.size(), kMostReleased);
+        std::vector<std::string> batch(machines.begin() + static_cast<std::ptrdiff_t>(left), machines.end());
+        machines.resize(left);
+        auto releasing = release(std::move(batch));
+        const bool released = co_await std::move(releasing);
+        if (!released) co_return;
+    }
+}
+
 Task<bool> Leader::release(std::vector<std::string> machines) {
     if (machines.empty()) co_return true;
     auto task = cloud_.call("POST", "/rentals/release", wire::encode(wire::release_request(machines)));
--- a/src/service/leader.hpp
+++ b/src/service/leader.hpp
@@ -40,6 +40,7 @@
     // Returns how many machines the cloud listed.
     io::Task<std::size_t> read_list();
     std::vector<std::string> vanished_machines() const;
+    io::Task<void> release_in_batches(std::vector<std::string> machines);
     void start_term();
     void note_epoch();
 
--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -18,7 +18,11 @@
 namespace {
 // Of each node's memory, this part may wait for one peer.
 constexpr std::size_t kQueueParts = 64;
-constexpr std::size_t kInbound = 16;
+// Of each peer: the one in use, and some that a cut has left half open.
+constexpr std::size_t kInboundPerPeer = 4;
+constexpr std::size_t kLeastInbound = 16;
+// The first heartbeat of a connection has all of them to tell, and a frame has a limit (kMeshFrameBytes).
+constexpr std::size_t kReleasedPerHeartbeat = 8192;
 constexpr Micros kHeartbeatInterval{500'000};
 constexpr Micros kSilence{4'000'000};
 constexpr Micros kUnconfirmed{3'000'000};
@@ -134,7 +138,7 @@
 Task<void> Mesh::serve() {
     while (true) {
         io::Socket socket = co_await listener_.accept();
-        if (inbound_open_ >= kInbound) continue;  // closes it
+        if (inbound_open_ >= std::max(kLeastInbound, kInboundPerPeer * links_.size())) continue;  // closes it
         ++inbound_open_;
         inbound_.spawn(listen(std::move(socket)));
     }
@@ -268,18 +272,16 @@
     std::copy_if(cancels.begin(), cancels.end(), std::back_inserter(b.cancels),
                  [&](const wire::CancelNotice& notice) { return notice.revision > peer_revision; });
     b.answered.clear();
-    b.released.clear();
     for (const auto& [machine, at] : node_.answered_here) {
         if (at >= link.answered_until) b.answered.emplace_back(machine, at.count());
     }
-    const auto news =
-        std::min<std::uint64_t>(node_.released_count - link.released_told, node_.released_log.size());
-    b.released.assign(node_.released_log.end() - static_cast<std::ptrdiff_t>(news), node_.released_log.end());
+    auto news = node_.cluster_view.released_machines().since(link.released_told, kReleasedPerHeartbeat);
+    b.released = std::move(news.machines);
     // One that the link has no room for is lost, and the next one tells what it would have told: a
     // peer takes a heartbeat's table for all that was answered until then, and counts leases by it.
     if (!push(link, b)) return;
     link.answered_until = Micros{b.wall_us};
-    link.released_told = node_.released_count;
+    link.released_told = news.position;
 }
 
 Task<void> Mesh::heartbeat() {
--- a/src/service/mesh.hpp
+++ b/src/service/mesh.hpp
@@ -29,7 +29,7 @@
         bool connected = false;
         bool missed = false;              // the queue was full for something
         io::Micros answered_until{0};     // the table told on this connection goes so far
-        std::uint64_t released_told = 0;  // likewise the log of releases
+        std::uint64_t released_told = 0;  // likewise the released machines
         io::Micros confirmed{0};  // steady: when the peer last said that it hears us, or the link was made
     };
     io::Task<void> talk(Link& link);
--- a/src/service/node.cpp
+++ b/src/service/node.cpp
@@ -15,7 +15,6 @@
     for (const auto& p : peers) out.push_back(p.label);
     return out;
 }
-constexpr std::size_t kReleasedKept = 4096;
 }  // namespace
 
 Node::Node(io::Loop& l, Settings s, Tunables t)
@@ -181,15 +180,12 @@
     if (view != nullptr) {
         if (const auto a = io::parse_address(view->last.address)) workers_http.forget(*a);
     }
-    cluster_view.release(machine);
+    cluster_view.release(machine, io::steady_now());
     answered_here.erase(machine);
     answered_any.erase(machine);
     homed_.erase(machine);
     sessions_.erase(machine);
     suspects.erase(machine);
-    released_log.push_back(machine);
-    ++released_count;
-    if (released_log.size() > kReleasedKept) released_log.pop_front();
     work.notify_all();
     fleet_work.notify_all();
 }
--- a/src/service/node.hpp
+++ b/src/service/node.hpp
@@ -1,7 +1,6 @@
 // What the duties of one controller share.
 #pragma once
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -59,8 +58,6 @@
     std::set<std::string> candidates;  // the leader's drain candidates, as last heard
     // FreeCapacity that other owners are clearing for their tasks.
     std::map<core::TaskRef, core::Reservation> foreign_holds;
-    std::deque<std::string> released_log;  // newest last, bounded
-    std::uint64_t released_count = 0;      // ever put into the log
     // Machines that did not answer our last request, though somebody hears them; see Workers::keep_reach().
     struct Suspect {
         io::Micros since{0};  // steady; 0: nothing is known against it, it was only never asked
--- a/src/service/workers.cpp
+++ b/src/service/workers.cpp
@@ -84,7 +84,14 @@
     return to->first;
 }
 
+void Workers::forget_earlier_epochs() {
+    if (unanswered_epoch_ == node_.epoch.number) return;
+    unanswered_epoch_ = node_.epoch.number;
+    std::erase_if(unanswered_, [&](const auto& sent) { return sent.second.epoch < unanswered_epoch_; });
+}
+
 void Workers::order(const std::string& machine, std::uint64_t session, core::Order o) {
+    forget_earlier_epochs();
     Outbox& box = outboxes_[machine];
     if (box.session != session || box.epoch != node_.epoch.number) {
         // Orders die with the session they were meant for, and with the epoch they were given in.
@@ -159,13 +166,12 @@
             absorb_answer(reply.body);
             node_.work.notify_all();
         } else {
-            node_.note_unanswered(machine);
+            // Without a socket of this node's own the machine was not asked: banned for that, live machines
+            // of a large fleet got nothing after a takeover.
+            if (!reply.pool_exhausted) node_.note_unanswered(machine);
             spdlog::debug("event=order_unanswered machine={} status={} orders={}", machine, reply.status,
                           orders.size());
         }
-        if (unanswered_.size() > 4096) {
-            std::erase_if(unanswered_, [&](const auto& u) { return u.second.epoch != node_.epoch.number; });
-        }
     }
 }
 
@@ -190,7 +196,7 @@
         co_return;
     }
     const auto it = node_.suspects.find(machine);
-    if (it == node_.suspects.end()) co_return;
+    if (it == node_.suspects.end() || reply.pool_exhausted) co_return;
     it->second.pause = std::min(it->second.pause * 2, Micros{8'000'000});
     node_.note_unanswered(machine);
 }
@@ -211,7 +217,9 @@
         for (const auto& [machine, s] : node_.suspects) {
             if (s.next <= now) due.emplace_back(s.next, machine);
         }
-        const std::size_t most = std::max(kAsking, node_.cluster_view.machines().size() / 8);
+        // Half of the sockets are left to orders.
+        const std::size_t most = std::clamp(node_.cluster_view.machines().size() / 8, kAsking,
+                                            std::max(kAsking, node_.workers_http.most_connections() / 2));
         const std::size_t number = std::min(due.size(), most - std::min(most, asking_));
         std::partial_sort(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(number), due.end());
         for (std::size_t i = 0; i < number; ++i) {
--- a/src/service/workers.hpp
+++ b/src/service/workers.hpp
@@ -51,7 +51,10 @@
     io::Task<void> ask(std::string machine);
     // Where a worker should report instead, when this node bears far more of them than its part.
     std::string better_home();
+    // Starts of earlier epochs are void and need not be remembered.
+    void forget_earlier_epochs();
     std::map<AttemptKey, Sent> unanswered_;
+    std::uint64_t unanswered_epoch_ = 0;  // no entry is older
     std::size_t asking_ = 0;
     std::size_t turn_ = 0;                      // of the homes that are named
     io::Micros counted_{0};                     // steady: when the loads below were looked at
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,4 +1,4 @@
-// Three thousand machines against a model of what truly runs: a zone goes dark and comes back, hundreds
+// Four thousand machines against a model of what truly runs: a zone goes dark and comes back, hundreds
 // restart at once, held orders and copies of reports arrive late. No sockets and no clocks: seconds are
 // counted.
 #include <random>
@@ -230,7 +230,7 @@
 
 TEST(FleetSize, ADarkZoneAndHundredsOfRestartsBreakNoRuleAndLoseNothing) {
     std::mt19937 random{20261};
-    Fleet f{3'000};
+    Fleet f{4'000};
     int jobs = 0;
     for (int s = 0; s < 170; ++s) {
         for (int k = 0; k < 12 && s < 64; ++k) f.submit(jobs++);
@@ -259,7 +259,7 @@
         }
     }
     EXPECT_EQ(f.left(), 0U) << "of " << jobs << " jobs";
-    EXPECT_EQ(f.c.cluster_view.machines().size(), 3'000U);
+    EXPECT_EQ(f.c.cluster_view.machines().size(), 4'000U);
 }
 
 }  // namespace
--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -221,6 +221,31 @@
     });
 }
 
+// A call that got no socket of its own says nothing about the other side: machines were taken for silent.
+TEST(Http, ACallThatFoundNoFreeSocketSaysSo) {
+    Echo slow;
+    slow.answer_after = Micros{400'000};
+    run(slow.loop, [&]() -> Task<void> {
+        io::HttpClient client{slow.loop, 1, 1};
+        io::Scope calls;
+        calls.spawn([](io::HttpClient& c, io::Address to) -> Task<void> {
+            auto first = c.send(to, "GET", "/", "", io::steady_now() + Micros{5'000'000});
+            co_await std::move(first);
+        }(client, slow.address));
+        co_await slow.loop.sleep(Micros{50'000});
+        auto second = client.send(slow.address, "GET", "/", "", io::steady_now() + Micros{100'000});
+        const auto waited = co_await std::move(second);
+        EXPECT_TRUE(waited.never_sent);
+        EXPECT_TRUE(waited.pool_exhausted);
+        co_await slow.loop.sleep(Micros{500'000});
+        auto nobody =
+            client.send(test::local(test::free_port()), "GET", "/", "", io::steady_now() + Micros{100'000});
+        const auto refused = co_await std::move(nobody);
+        EXPECT_TRUE(refused.never_sent);
+        EXPECT_FALSE(refused.pool_exhausted);
+    });
+}
+
 // Half-open connections, and a fleet that keeps its own, held users and health checks out.
 TEST(Http, AServerThatIsFullGivesThePlaceOfWhoRestsLongest) {
     io::HttpLimits limits;
--- a/tests/ledger_test.cpp
+++ b/tests/ledger_test.cpp
@@ -204,7 +204,7 @@
     const core::Attempt current{2, "n-1", 2};
     EXPECT_EQ(core::view_attempt(p, "req-1", 0, current).fate, core::Fate::unlisted)
         << "a missing task proves nothing";
-    p.release("n-1");
+    p.release("n-1", core::Micros{1});
     r.tick = 9;
     EXPECT_FALSE(p.apply(r, core::Micros{4}, core::Micros{4}));
     EXPECT_EQ(core::view_attempt(p, "req-1", 0, current).fate, core::Fate::gone);
--- a/tests/mesh_codec_test.cpp
+++ b/tests/mesh_codec_test.cpp
@@ -39,6 +39,28 @@
     return b;
 }
 
+// The first heartbeat of a connection, from a node that alone has heard a fleet of 5,000 machines, all of
+// which have just ended, with as many cancelled jobs.
+TEST(MeshCodec, AHeartbeatOfALargeFleetFitsAFrame) {
+    constexpr int kMachines = 5'000;
+    constexpr std::size_t kReleased = 8'192;
+    wire::MeshHeartbeat heartbeat;
+    heartbeat.wall_us = 1'700'000'000'000'000;
+    const auto name = [](std::size_t i) { return "n-" + std::to_string(100'000 + i); };
+    for (std::size_t i = 0; i < kMachines; ++i) {
+        heartbeat.answered.emplace_back(name(i), heartbeat.wall_us - 600'000'000);
+        heartbeat.candidates.push_back(name(i));
+        heartbeat.unanswered.push_back(name(i));
+        heartbeat.cancels.push_back({"req-" + std::to_string(100'000 + i), 1'000'000, heartbeat.wall_us});
+    }
+    for (std::size_t i = 0; i < kReleased; ++i) heartbeat.released.push_back(name(i));
+    const std::string frame = wire::encode_frame(heartbeat);
+    EXPECT_LT(frame.size(), wire::kMeshFrameBytes);
+    wire::FrameReader reader;
+    reader.add(frame);
+    EXPECT_TRUE(reader.next().has_value());
+}
+
 TEST(MeshCodec, FramesSurviveAnySplit) {
     holds("split anywhere", [] {
         const auto heartbeat = draw_heartbeat();
--- a/tests/planner_test.cpp
+++ b/tests/planner_test.cpp
@@ -52,7 +52,7 @@
             const std::string id = m.id;
             switch (*rc::gen::inRange(0, 4)) {
                 case 0:
-                    c.cluster_view.release(id);
+                    c.cluster_view.release(id, c.now);
                     break;
                 case 1: {  // a task ends, or the session does
                     auto r = c.cluster_view.find(id)->last;
--- a/tests/safety_test.cpp
+++ b/tests/safety_test.cpp
@@ -133,15 +133,54 @@
 TEST(LateCopies, MemoryOfReleasedMachinesIsBoundedAndWhatIsForgottenIsNotUsed) {
     core::ClusterView p;
     const auto name = [](int i) { return "n-" + std::to_string(100000 + i); };
-    for (int i = 0; i < 20000; ++i) p.release(name(i));
-    EXPECT_TRUE(p.released(name(19999)));
+    const int most = static_cast<int>(core::ReleasedMachines::kMostKept);
+    for (int i = 0; i <= most; ++i) p.release(name(i), Micros{1});
+    EXPECT_TRUE(p.released(name(most)));
+    EXPECT_TRUE(p.released(name(1)));
     EXPECT_FALSE(p.released(name(0))) << "kept for ever";
-    EXPECT_FALSE(p.apply(test::report(name(19999), "small", "a"), Micros{1}, Micros{1}, false, kDoubt));
-    EXPECT_EQ(p.find(name(19999)), nullptr);
+    EXPECT_FALSE(p.apply(test::report(name(most), "small", "a"), Micros{1}, Micros{1}, false, kDoubt));
+    EXPECT_EQ(p.find(name(most)), nullptr);
     ASSERT_TRUE(p.apply(test::report(name(0), "small", "a"), Micros{1}, Micros{1}, false, kDoubt));
     EXPECT_FALSE(p.find(name(0))->confirmed);
 }
 
+// A fleet of 4,000 machines that is replaced several times over within minutes: late reports of all of them
+// may still be under way.
+TEST(ReleasedMachines, AreKeptByTimeAndNotByNumber) {
+    constexpr int kFleet = 4'000;
+    constexpr int kFleets = 5;
+    const auto name = [](int i) { return "n-" + std::to_string(100000 + i); };
+    core::ReleasedMachines released;
+    for (int i = 0; i < kFleet * kFleets; ++i) EXPECT_TRUE(released.add(name(i), Micros{1}));
+    EXPECT_FALSE(released.add(name(0), Micros{2}));
+    for (int i = 0; i < kFleet * kFleets; ++i) ASSERT_TRUE(released.contains(name(i)));
+    released.add("later", core::ReleasedMachines::kKeptFor + Micros{2});
+    EXPECT_FALSE(released.contains(name(kFleet))) << "kept for ever";
+    EXPECT_TRUE(released.contains("later"));
+}
+
+TEST(ReleasedMachines, ArePassedOnPieceByPieceAndOnce) {
+    holds("pieces", [] {
+        core::ReleasedMachines released;
+        std::vector<std::string> told;
+        std::uint64_t position = 0;
+        int added = 0;
+        const int steps = *rc::gen::inRange(1, 30);
+        for (int step = 0; step < steps; ++step) {
+            for (int more = *rc::gen::inRange(0, 20); more > 0; --more)
+                released.add("n-" + std::to_string(added++), Micros{step});
+            const auto news = released.since(position, *rc::gen::inRange<std::size_t>(0, 15));
+            told.insert(told.end(), news.machines.begin(), news.machines.end());
+            position = news.position;
+        }
+        const auto rest = released.since(position, released.kMostKept);
+        told.insert(told.end(), rest.machines.begin(), rest.machines.end());
+        RC_ASSERT(static_cast<int>(told.size()) == added);
+        for (int i = 0; i < added; ++i)
+            RC_ASSERT(told[static_cast<std::size_t>(i)] == "n-" + std::to_string(i));
+    });
+}
+
 // Another node hears whole reports and short ones; some are lost, some come again. Whatever it believes of a
 // machine's tasks at a tick must be what they were at that tick.
 TEST(Mesh, ShortReportsNeverHideAMissedChange) {
