--- a/src/service/attempt_page_writer.cpp
+++ b/src/service/attempt_page_writer.cpp
@@ -13,7 +13,11 @@
 using io::Micros;
 
 namespace {
+// Completions alone wait for company: at first for so long, and while the budget is short for longer.
 constexpr Micros kCompletionsWait{4'000'000};
+constexpr Micros kCompletionsWaitAtMost{15'000'000};
+// Of a team's limit: above it, starts wait for completions to be recorded.
+constexpr double kNearLimit = 0.85;
 // The JSON form's bytes, about.
 constexpr std::size_t kFinishBytes = 300;
 constexpr std::size_t kChunkBytes = 60;
@@ -155,9 +159,20 @@
     if (!record.started.empty()) return production ? WriteRank::production : WriteRank::start;
     // Ends of tasks alone are told by the worker until they are reaped. They wait for company, since each
     // write of a page counts the same however much it says.
-    const Micros since = waiting_since_.try_emplace(key, now).first->second;
+    const Micros waited = now - waiting_since_.try_emplace(key, now).first->second;
     if (record.urgent) return production ? WriteRank::production : WriteRank::urgent;
-    return now - since > kCompletionsWait ? WriteRank::overdue_completion : WriteRank::completion;
+    if (waited <= kCompletionsWait) return WriteRank::completion;
+    const bool overdue =
+        waited > kCompletionsWaitAtMost || near_limit(node_.ledger.find(key.first)->job.team);
+    return overdue ? WriteRank::overdue_completion : WriteRank::due_completion;
+}
+
+bool AttemptPageWriter::near_limit(const std::string& team) const {
+    const auto limits = node_.settings.teams.find(team);
+    if (limits == node_.settings.teams.end()) return false;
+    const core::Amount use = node_.ledger.team_use(team);
+    return use.cpus > limits->second.cpus_max * kNearLimit ||
+           (use.gpus > 0 && use.gpus > limits->second.gpus_max * kNearLimit);
 }
 
 }  // namespace hatchwind::service
--- a/src/service/attempt_page_writer.hpp
+++ b/src/service/attempt_page_writer.hpp
@@ -39,6 +39,9 @@
     void add_chunk(WriteUnit& unit, const core::ChunkKey& key, const ChunkRecord& record, io::Micros now);
     WriteRank rank_of(const core::ChunkKey& key, const ChunkRecord& record, bool production, io::Micros now);
 
+    // What the team's recorded attempts use leaves little of its limit.
+    bool near_limit(const std::string& team) const;
+
     const Node& node_;
     std::map<core::ChunkKey, io::Micros> waiting_since_;  // completions that wait for company; steady
 };
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -80,6 +80,13 @@
     if (committed) node_.work.notify_all();
 }
 
+// Most of what an owner has to write can wait. Were it to use the budget ahead, each start after it would
+// wait until that is paid.
+double Owner::WriteBudget::limit(WriteRank rank) const {
+    if (rank >= WriteRank::completion) return spare * kCompletionShare;
+    return rank == WriteRank::due_completion ? spare : bear;
+}
+
 Owner::WriteBudget Owner::write_budget() {
     const double spare = std::max(0.0, node_.state.spare_writes());
     return {spare, std::max(kLeastWrites, spare + node_.state.write_rate() * kBudgetSpanSeconds)};
@@ -95,9 +102,7 @@
     writes.units = pages_.units(staged);
     std::erase_if(writes.units, [&](const WriteUnit& unit) {
         const auto wanted = static_cast<double>(unit.writes());
-        // The last rank takes what would else go to waste.
-        const bool last = unit.rank >= WriteRank::completion;
-        const double limit = last ? budget.spare * kCompletionShare : budget.bear;
+        const double limit = budget.limit(unit.rank);
         const bool out = writes.planned > 0 && writes.planned + wanted > limit;
         (out ? writes.left_out : writes.planned) += wanted;
         return out;
--- a/src/service/owner.hpp
+++ b/src/service/owner.hpp
@@ -32,6 +32,7 @@
     struct WriteBudget {
         double spare = 0;  // unused so far
         double bear = 0;   // within half a second
+        double limit(WriteRank rank) const;
     };
     struct PassWrites {
         std::vector<WriteUnit> units;
--- a/src/service/page_assignment.cpp
+++ b/src/service/page_assignment.cpp
@@ -12,10 +12,12 @@
 // with 14 KiB to each page spent its time on reading.
 constexpr double kReadBytes = 2.4e6;
 constexpr std::size_t kLeastPageBytes = std::size_t{5} * 1024;
-// The JSON form's bytes, at the most.
-constexpr std::size_t kChunkBytes = 90;
-constexpr std::size_t kAttemptBytes = 20;  // beside the machine's name
-constexpr std::size_t kDoneBytes = 10;
+// The JSON form's bytes, about. A page that outgrows the value limit all the same is split when it is
+// written.
+constexpr std::size_t kChunkBytes = 60;
+constexpr std::size_t kMachineBytes = 10;  // beside its name, for all of the chunk's attempts there
+constexpr std::size_t kAttemptBytes = 8;
+constexpr std::size_t kDoneRangeBytes = 10;
 
 std::size_t page_bytes(const Settings& settings) {
     const auto affordable =
@@ -42,7 +44,7 @@
         for (auto& [key, record] : staged.chunks) {
             if (record.chunk.page != 0) continue;
             const core::JobEntry& entry = *node_.ledger.find(key.first);
-            const std::size_t need = reserve(entry, key.second);
+            const std::size_t need = reserve(entry, key.second, record.chunk);
             const core::AttemptPageKey page = choose(entry.job.team, need);
             load_[page] += need;
             record.chunk.page = page.second;
@@ -52,22 +54,36 @@
     }
 
   private:
-    // What the chunk may grow to.
-    std::size_t reserve(const core::JobEntry& entry, std::uint32_t index) const {
+    // What the chunk may grow to, if its other tasks share machines as much as those that are open now. With
+    // the worst for each task, pages were half empty, and the state service counts the pages that are
+    // written.
+    std::size_t reserve(const core::JobEntry& entry, std::uint32_t index, const core::Chunk& chunk) const {
         const std::uint32_t first = index * core::kChunkTasks;
         const std::uint32_t tasks = std::min(core::kChunkTasks, entry.job.tasks - first);
-        // What is done stays done, and takes less.
-        const auto chunk = entry.chunks.find(index);
-        const std::uint32_t done = chunk == entry.chunks.end() ? 0 : chunk->second.done.size();
-        return kChunkBytes + entry.job.id.size() + (tasks - done) * (longest_name_ + kAttemptBytes) +
-               done * kDoneBytes;
+        const std::size_t not_done = tasks - chunk.done.size();
+        return kChunkBytes + entry.job.id.size() + not_done * kAttemptBytes +
+               machines_of(chunk, not_done) * (longest_name_ + kMachineBytes) +
+               chunk.done.ranges().size() * kDoneRangeBytes;
+    }
+
+    // Tasks that share a machine mostly follow each other.
+    static std::size_t machines_of(const core::Chunk& chunk, std::size_t tasks) {
+        if (chunk.open.empty()) return tasks;
+        std::size_t machines = 0;
+        const std::string* last = nullptr;
+        for (const auto& [task, attempt] : chunk.open) {
+            if (last == nullptr || *last != attempt.machine) ++machines;
+            last = &attempt.machine;
+        }
+        return (machines * tasks + chunk.open.size() - 1) / chunk.open.size();
     }
 
     std::size_t load_of(const core::AttemptPage& page, const std::set<std::string>& ending) const {
         std::size_t sum = 0;
         for (const auto& [job, chunk] : page.chunks) {
             const core::JobEntry* entry = node_.ledger.find(job);
-            if (entry != nullptr && !ending.contains(job)) sum += reserve(*entry, chunk);
+            if (entry == nullptr || ending.contains(job)) continue;
+            sum += reserve(*entry, chunk, entry->chunks.at(chunk));
         }
         return sum;
     }
--- a/src/service/write_unit.hpp
+++ b/src/service/write_unit.hpp
@@ -17,7 +17,8 @@
     urgent,  // a task waits for it to start again, or a job is over
     start,
     overdue_completion,
-    completion,  // takes what would else go to waste
+    due_completion,  // takes what is unused
+    completion,      // takes what would else go to waste
     lowest,
 };
 
