Job and epoch records keep fields of a later version when they are written anew

RecordsOfProduction... expected such fields to be dropped; for these two records it now expects that all survive. New: the waiting-job records and the heartbeat of the version in production since, as that version wrote them.

--- a/src/core/epoch.cpp
+++ b/src/core/epoch.cpp
@@ -63,6 +63,7 @@
     plan.next.number = in.current.number + 1;
     plan.next.removed_at = in.current.removed_at;
     plan.next.stamp = in.current.stamp;
+    plan.next.later_fields = in.current.later_fields;
     bool removes = false;
     for (const auto& m : in.current.members) {
         if (alive(m)) continue;
--- a/src/core/epoch.hpp
+++ b/src/core/epoch.hpp
@@ -28,6 +28,7 @@
     // now can have answered a worker after it.
     Micros removed_at{};
     Stamp stamp = 0;
+    std::string later_fields;  // of the record, likewise as for Job::later_fields
 
     const Member* member(const std::string& label) const {
         for (const auto& m : members) {
--- a/src/core/model.hpp
+++ b/src/core/model.hpp
@@ -86,6 +86,10 @@
     bool cancelled = false;
     Micros cancelled_at{};  // time of day
 
+    // Fields of the record that this version does not know, as JSON text; empty without any. Kept for the
+    // version that wrote them when this one writes the record anew.
+    std::string later_fields;
+
     bool waiting() const { return team == kWaitingTeam; }
     // A waiting job always needs something: with an empty list its needs are not known here, and it must not
     // be released.
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -1,6 +1,7 @@
 #include "wire/messages.hpp"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace hatchwind::wire {
@@ -74,6 +75,30 @@
 
 constexpr std::string_view kJobIdPrefix = "req-";
 
+// Of the state service's records, in alphabetical order.
+constexpr std::array<std::string_view, 23> kJobFields = {
+    "at",  "await_list", "await_parts", "awaits", "cancelled", "class", "cp",   "cpus",
+    "due", "est",        "flags",       "gpus",   "igb",       "image", "kind", "later_team",
+    "mem", "prio",       "save",        "tasks",  "team",      "types", "zone"};
+constexpr std::array<std::string_view, 5> kEpochFields = {"leader", "members", "number", "owners", "removed"};
+
+// The fields that are not among those known, as JSON text; empty without any.
+template <std::size_t size>
+std::string fields_beside(const std::array<std::string_view, size>& known, const Json& record) {
+    Json others = Json::object();
+    for (const auto& [name, value] : record.items()) {
+        if (!std::binary_search(known.begin(), known.end(), std::string_view(name))) others[name] = value;
+    }
+    return others.empty() ? std::string{} : others.dump();
+}
+
+void add_later_fields(Json& record, const std::string& fields) {
+    if (fields.empty()) return;
+    const Json others = Json::parse(fields, nullptr, false);
+    if (!others.is_object()) return;
+    for (const auto& [name, value] : others.items()) record.emplace(name, value);
+}
+
 }  // namespace
 
 bool is_job_id(std::string_view id) {
@@ -440,6 +465,7 @@
             v["await_parts"] = j.await_parts;
         }
     }
+    add_later_fields(v, j.later_fields);
     return v;
 }
 
@@ -491,6 +517,7 @@
         j.cancelled = true;
         j.cancelled_at = core::Micros{static_cast<std::int64_t>(*c)};
     }
+    j.later_fields = fields_beside(kJobFields, v);
     return j;
 }
 
@@ -583,11 +610,13 @@
 Json epoch_record(const core::Epoch& e) {
     Json members = Json::array();
     for (const auto& m : e.members) members.push_back({m.label, m.grant});
-    return {{"number", e.number},
-            {"leader", e.leader},
-            {"members", std::move(members)},
-            {"owners", e.owners},
-            {"removed", e.removed_at.count()}};
+    Json record{{"number", e.number},
+                {"leader", e.leader},
+                {"members", std::move(members)},
+                {"owners", e.owners},
+                {"removed", e.removed_at.count()}};
+    add_later_fields(record, e.later_fields);
+    return record;
 }
 
 std::optional<core::Epoch> parse_epoch_record(const Json& v, core::Stamp stamp) {
@@ -613,6 +642,7 @@
         if (!owner.is_string()) return std::nullopt;
         e.owners[team] = owner.get<std::string>();
     }
+    e.later_fields = fields_beside(kEpochFields, v);
     return e;
 }
 
--- a/tests/versions_test.cpp
+++ b/tests/versions_test.cpp
@@ -163,8 +163,67 @@
     EXPECT_EQ(rewrite(later).dump(), recorded);
 }
 
+// The same for records whose fields of a later version survive that this version writes them anew.
+template <class Rewrite>
+void expect_all_fields_kept(const char* recorded, Rewrite rewrite) {
+    const Json value = Json::parse(recorded);
+    EXPECT_EQ(rewrite(value).dump(), recorded);
+    Json later = value;
+    later["later"] = {{"a", 1}};
+    later["Early in the alphabet"] = nullptr;
+    EXPECT_EQ(rewrite(later), later);
+}
+
+// Of the version in production since (4ccfc8d), which knows waiting jobs.
+constexpr const char* kProductionWaitingJob =
+    R"({"at":1700000000000000,"awaits":["req-000398","req-000405"],"class":"press-ready","cp":0.0,"cpus":1.0,)"
+    R"("due":143.5,"est":8.0,"flags":4,"gpus":0.0,"igb":0.5,"image":"img-07","kind":0,)"
+    R"("later_team":"print-room","mem":1.6,"prio":2,"save":0.0,"tasks":3,"team":"~waiting"})";
+constexpr const char* kProductionLongWait =
+    R"({"at":1700000000000000,"await_list":"123456789","await_parts":2,"awaits":[],"class":"press-ready",)"
+    R"("cp":0.0,"cpus":1.0,"due":143.5,"est":8.0,"flags":4,"gpus":0.0,"igb":0.5,"image":"img-07","kind":0,)"
+    R"("later_team":"print-room","mem":1.6,"prio":2,"save":0.0,"tasks":3,"team":"~waiting"})";
+constexpr const char* kProductionCancelledWait =
+    R"({"at":1700000000000000,"awaits":[],"cancelled":1700000001000000,"class":"press-ready","cp":0.0,)"
+    R"("cpus":1.0,"due":143.5,"est":8.0,"flags":4,"gpus":0.0,"igb":0.5,"image":"img-07","kind":0,)"
+    R"("later_team":"print-room","mem":1.6,"prio":2,"save":0.0,"tasks":3,"team":"~waiting"})";
+constexpr const char* kProductionJobIds = R"({"ids":"000398,000405"})";
+constexpr const char* kProductionCapabilities = "1c02026e31078080f281838985060c01010100000000000000af030001";
+
+TEST(MixedVersions, WaitingJobsOfProductionAreReadAndWrittenAsItDoes) {
+    for (const char* recorded : {kProductionWaitingJob, kProductionLongWait, kProductionCancelledWait}) {
+        expect_all_fields_kept(recorded, [](const Json& v) {
+            const auto job = wire::parse_job_record("req-000413", v);
+            return job ? wire::job_record(*job) : Json{};
+        });
+    }
+    expect_same_both_ways(kProductionJobIds, [](const Json& v) {
+        const auto ids = wire::parse_job_ids_record(v);
+        return ids ? wire::job_ids_record(*ids) : Json{};
+    });
+}
+
+TEST(MixedVersions, ProductionAnnouncesThatItKnowsWaitingJobsAndNoMore) {
+    const auto message = read_frame(from_hex(kProductionCapabilities));
+    ASSERT_TRUE(message);
+    const auto capabilities = std::get<wire::MeshHeartbeat>(*message).capabilities;
+    EXPECT_EQ(capabilities, core::kKnowsWaitingJobs);
+    EXPECT_EQ(capabilities & core::kSharesWritesFairly, 0U);
+}
+
+TEST(MixedVersions, TheNextEpochKeepsFieldsOfALaterVersion) {
+    core::EpochInput input;
+    input.current.later_fields = R"({"later":1})";
+    input.self = {"n1", 7};
+    input.nodes["n1"] = {7, 3, core::kCapabilities};
+    input.teams = {{"print-room", 1, 1, 0, 0}};
+    const auto plan = core::plan_epoch(input);
+    ASSERT_TRUE(plan);
+    EXPECT_EQ(plan->next.later_fields, input.current.later_fields);
+}
+
 TEST(MixedVersions, RecordsOfProductionAreReadAndWrittenAsItDoes) {
-    expect_same_both_ways(kProductionJob, [](const Json& v) {
+    expect_all_fields_kept(kProductionJob, [](const Json& v) {
         const auto job = wire::parse_job_record("req-000412", v);
         return job ? wire::job_record(*job) : Json{};
     });
@@ -176,7 +235,7 @@
         }
         return wire::page_record(content);
     });
-    expect_same_both_ways(kProductionEpoch, [](const Json& v) {
+    expect_all_fields_kept(kProductionEpoch, [](const Json& v) {
         const auto epoch = wire::parse_epoch_record(v, 3);
         return epoch ? wire::epoch_record(*epoch) : Json{};
     });
