--- a/src/service/dependencies.cpp
+++ b/src/service/dependencies.cpp
@@ -80,13 +80,14 @@
     if (step.final_state) finals_.note(step.job, *step.final_state);
 }
 
-Task<bool> Dependencies::commit(std::vector<Step> steps, std::size_t groups) {
+Task<bool> Dependencies::commit(std::vector<Step> steps, std::size_t groups, Urgency urgency) {
     std::size_t next = 0;
     for (std::size_t group = 0; group < groups && next < steps.size(); ++group) {
         const std::size_t first = next;
         wire::Transaction t = next_group(steps, next);
         const auto conditions = t.conditions;
-        auto task = node_.state.commit(std::move(t), steady_now() + kCommitDeadline);
+        auto task =
+            node_.state.commit(std::move(t), steady_now() + kCommitDeadline, urgency == Urgency::release);
         const CommitResult r = co_await std::move(task);
         if (r.outcome == Commit::conflict) {
             // Written by somebody else, by an earlier copy of this transaction, or cancelled meanwhile.
@@ -128,7 +129,7 @@
     bool news = false;
     if (!releases.empty()) {
         const std::size_t groups = releases.size();
-        auto task = commit(std::move(releases), groups);
+        auto task = commit(std::move(releases), groups, Urgency::release);
         ok = co_await std::move(task);
     }
     if (ok && !plan.unknown_endings.empty()) {
@@ -140,7 +141,7 @@
         const double spare = std::max(0.0, node_.state.spare_writes());
         const auto affordable = static_cast<std::size_t>(spare) / node_.settings.txn_ops;
         const std::size_t groups = std::clamp(affordable, kLeastCancelGroups, kMostCancelGroups);
-        auto task = commit(std::move(cancels), groups);
+        auto task = commit(std::move(cancels), groups, Urgency::cancel);
         ok = co_await std::move(task);
     }
     if (!ok) co_await node_.loop.sleep(kAfterFailure);
--- a/src/service/dependencies.hpp
+++ b/src/service/dependencies.hpp
@@ -34,8 +34,11 @@
     // The next group commit of as many steps as it takes.
     wire::Transaction next_group(const std::vector<Step>& steps, std::size_t& next) const;
     void carried_out(Step& step, core::Stamp revision);
+    // A pipeline's deadline runs while a release waits for its write; users are told of a cancellation before
+    // it is written.
+    enum class Urgency : std::uint8_t { release, cancel };
     // Group commits, at most `groups` of them. False when one was not carried out.
-    io::Task<bool> commit(std::vector<Step> steps, std::size_t groups);
+    io::Task<bool> commit(std::vector<Step> steps, std::size_t groups, Urgency urgency);
     // Lists of jobs that do not wait any more. Leader only.
     io::Task<void> remove_lists();
     std::vector<std::string> jobs_with_old_lists() const;
--- a/src/service/group_commit.cpp
+++ b/src/service/group_commit.cpp
@@ -135,6 +135,8 @@
 void GroupCommit::committed(WriteUnit& unit, core::Stamp revision, core::Stamp epoch) {
     replica_.committed(unit.effects, revision);
     for (const auto& [job, state] : unit.ends) replica_.final_states().insert(job, state);
+    // Jobs that need these are released without waiting for the watch.
+    if (!unit.ends.empty()) node_.advanced.notify_all();
     pages_.written(unit.chunks);
     for (auto& closed : unit.closed) dispatch_.end_recorded(std::move(closed));
     // Recorded, so it may start; if this node is the owner no more, its order is void.
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -104,7 +104,9 @@
         const auto wanted = static_cast<double>(unit.writes());
         const double limit = budget.limit(unit.rank);
         const bool out = writes.planned > 0 && writes.planned + wanted > limit;
-        (out ? writes.left_out : writes.planned) += wanted;
+        if (!out) writes.planned += wanted;
+        // What waits for company by itself is no demand: counted, it took from others what was not used.
+        if (out && unit.rank <= WriteRank::overdue_completion) writes.left_out += wanted;
         return out;
     });
     return writes;
