--- a/src/service/attempt_page_writer.cpp
+++ b/src/service/attempt_page_writer.cpp
@@ -36,9 +36,8 @@
 }
 }  // namespace
 
-std::vector<WriteUnit> AttemptPageWriter::units(StagedRecords& staged) {
+std::vector<WriteUnit> AttemptPageWriter::units(StagedRecords& staged, Micros now) {
     std::vector<WriteUnit> units;
-    const Micros now = io::steady_now();
     const JobSet ending(staged.finished.begin(), staged.finished.end());
     for (const auto& job : staged.finished) units.push_back(finish_unit(job, staged));
     std::erase_if(waiting_since_, [&](const auto& chunk) { return !staged.chunks.contains(chunk.first); });
--- a/src/service/attempt_page_writer.hpp
+++ b/src/service/attempt_page_writer.hpp
@@ -18,7 +18,8 @@
     explicit AttemptPageWriter(const Node& node) : node_(node) {}
 
     // Most pressing first. Takes the records of finished jobs out of `staged`, and gives chunks their pages.
-    std::vector<WriteUnit> units(StagedRecords& staged);
+    // `now`: steady.
+    std::vector<WriteUnit> units(StagedRecords& staged, io::Micros now);
     // The chunks are written.
     void written(const std::vector<core::ChunkKey>& chunks);
     void start_epoch() { waiting_since_.clear(); }
--- a/src/service/owner.cpp
+++ b/src/service/owner.cpp
@@ -99,7 +99,7 @@
     PassWrites writes;
     writes.spare = budget.spare;
     writes.deferred = placement_.run(staged, static_cast<std::size_t>(records));
-    writes.units = pages_.units(staged);
+    writes.units = pages_.units(staged, steady_now());
     std::erase_if(writes.units, [&](const WriteUnit& unit) {
         const auto wanted = static_cast<double>(unit.writes());
         const double limit = budget.limit(unit.rank);
--- /dev/null
+++ b/tests/attempt_pages_test.cpp
@@ -0,0 +1,120 @@
+// How attempts share pages, and which pages are written when the budget is short.
+#include <gtest/gtest.h>
+
+#include "service/attempt_page_writer.hpp"
+#include "service/page_assignment.hpp"
+#include "support.hpp"
+
+namespace hatchwind {
+namespace {
+
+using core::Micros;
+using service::WriteRank;
+
+constexpr std::uint32_t kTasks = core::kChunkTasks;
+constexpr std::uint32_t kTasksOfOneMachine = 16;
+
+service::Settings settings_of_small_values() {
+    service::Settings settings;
+    settings.label = "n0";
+    settings.memory_mb = 64;
+    settings.max_connections = 100;
+    settings.cpu_share = 1;
+    settings.state_rps = 100;
+    settings.state_write_rps = 25;
+    settings.value_kb = 2;
+    settings.txn_ops = 10;
+    settings.teams["x"] = {"x", 100, 1000, 0, 0};
+    return settings;
+}
+
+class AttemptPages : public ::testing::Test {
+  protected:
+    AttemptPages()
+        : settings_(settings_of_small_values()), node_(loop_, settings_, service::tune({}, settings_)) {
+        node_.epoch.owners["x"] = "n0";
+    }
+
+    void accept(int number, std::uint32_t tasks = kTasks) {
+        node_.ledger.put_job(test::job(name(number), "x", tasks, 1), ++stamp_);
+    }
+    static std::string name(int number) { return "req-" + std::to_string(100 + number); }
+
+    // All tasks of the job, on as few machines as they need.
+    service::StagedRecords starts(const std::vector<int>& jobs) const {
+        service::StagedRecords staged;
+        for (const int job : jobs) {
+            const core::JobEntry& entry = *node_.ledger.find(name(job));
+            for (std::uint32_t task = 0; task < entry.job.tasks; ++task) {
+                const std::string machine = "n-00" + std::to_string(1000 + task / kTasksOfOneMachine);
+                staged.start(entry, {name(job), task, {1, machine, 1}});
+            }
+        }
+        return staged;
+    }
+
+    void record_running(int job, std::uint32_t task) {
+        core::Chunk chunk;
+        chunk.stamp = ++stamp_;
+        chunk.open[task] = {1, "n-1", 1};
+        chunk.last_attempt = 1;
+        chunk.page = 1;
+        node_.ledger.put_chunk(name(job), 0, chunk);
+    }
+
+    // How urgent it is to record that the task is done.
+    WriteRank rank_of_completion(int job, std::uint32_t task, Micros now) {
+        const core::JobEntry& entry = *node_.ledger.find(name(job));
+        service::StagedRecords staged;
+        staged.close({entry, task, *node_.ledger.open_attempt(name(job), task)}, true);
+        return writer_.units(staged, now).front().rank;
+    }
+
+    io::Loop loop_;
+    service::Settings settings_;
+    service::Node node_;
+    service::AttemptPageWriter writer_{node_};
+    core::Stamp stamp_ = 0;
+};
+
+TEST_F(AttemptPages, TasksThatShareMachinesShareAPage) {
+    constexpr int kJobs = 4;
+    std::vector<int> jobs;
+    for (int job = 0; job < kJobs; ++job) {
+        accept(job);
+        jobs.push_back(job);
+    }
+    auto staged = starts(jobs);
+    const auto pages = service::assign_pages(node_, staged, {});
+    // With the worst for each task, each of these jobs took a page of its own.
+    EXPECT_LE(pages.size(), 2U);
+    for (const auto& [page, chunks] : pages) {
+        service::PageContent content;
+        for (const auto& chunk : chunks) content[chunk] = &staged.chunks.at(chunk).chunk;
+        EXPECT_LE(service::page_bytes(content), settings_.value_limit());
+    }
+}
+
+TEST_F(AttemptPages, CompletionsWaitForUnusedWritesAtFirst) {
+    accept(0, 2);
+    record_running(0, 0);
+    EXPECT_EQ(rank_of_completion(0, 0, Micros{1'000'000}), WriteRank::completion);
+    EXPECT_EQ(rank_of_completion(0, 0, Micros{6'000'000}), WriteRank::due_completion);
+    EXPECT_EQ(rank_of_completion(0, 0, Micros{17'000'000}), WriteRank::overdue_completion);
+}
+
+// What is recorded counts against the limit: the team's next start waits for it.
+TEST_F(AttemptPages, CompletionsOfATeamNearItsLimitAreOverdueSooner) {
+    accept(0, 900);
+    core::Chunk chunk;
+    chunk.stamp = ++stamp_;
+    for (std::uint32_t task = 0; task < 900; ++task) chunk.open[task] = {1, "n-1", 1};
+    chunk.last_attempt = 1;
+    chunk.page = 1;
+    node_.ledger.put_chunk(name(0), 0, chunk);
+    EXPECT_EQ(rank_of_completion(0, 0, Micros{1'000'000}), WriteRank::completion);
+    EXPECT_EQ(rank_of_completion(0, 0, Micros{6'000'000}), WriteRank::overdue_completion);
+}
+
+}  // namespace
+}  // namespace hatchwind
