--- a/src/core/fleet_planner.cpp
+++ b/src/core/fleet_planner.cpp
@@ -16,7 +16,7 @@
 class Planner {
   public:
     Planner(const FleetSettings& s, const FleetInput& in, FreeCapacity& capacity)
-        : settings_(s), in_(in), capacity_(capacity), boot_s_(shortest_boot_s(*in.catalog)) {
+        : settings_(s), in_(in), capacity_(capacity) {
         for (const auto& b : in.booting) {
             const auto t = in.catalog->find(b.type);
             if (t == in.catalog->end()) continue;
@@ -159,21 +159,6 @@
         return std::min(1.0, run / std::max(left * settings_.slack_share, settings_.least_queue_s));
     }
 
-    // Half of a running task's run is still to come, as far as anyone knows.
-    double lent_share(const Job& j) const {
-        const double left = task_seconds(j) / 2;
-        // However soon its own job is due, it leaves when it has run, and a machine that is rented now comes
-        // later than that: jobs of pipelines, always close to their time, lent nothing, and the fleet grew by
-        // what was free again before it had booted.
-        return 1 - std::min(time_share(j, left), left / std::max(boot_s_, settings_.least_queue_s));
-    }
-
-    static double shortest_boot_s(const Catalog& catalog) {
-        Micros shortest = Micros::max();
-        for (const auto& [name, type] : catalog) shortest = std::min(shortest, type.boot);
-        return catalog.empty() ? 0 : static_cast<double>(shortest.count()) / 1e6;
-    }
-
     void lend_running() {
         std::unordered_map<const JobEntry*, double> shares;
         for (std::size_t i = 0; i < capacity_.machines().size(); ++i) {
@@ -183,7 +168,8 @@
                 const JobEntry* e = held.entry;
                 if (e->job.kind != JobKind::array) continue;
                 const auto [share, fresh] = shares.try_emplace(e, 0);
-                if (fresh) share->second = lent_share(e->job);
+                // Half of its run is still to come, as far as anyone knows.
+                if (fresh) share->second = 1 - time_share(e->job, task_seconds(e->job) / 2);
                 capacity_.give(i, e->job.need * share->second);
             }
         }
@@ -241,7 +227,6 @@
     std::map<std::string, Amount> used_;
     std::map<std::string, std::size_t> in_zone_;
     std::map<Shape, std::size_t> searched_;
-    const double boot_s_;
     double owed_ = 0;
     std::size_t total_ = 0;
 };
