--- a/src/service/dependencies.cpp
+++ b/src/service/dependencies.cpp
@@ -86,8 +86,8 @@
         const std::size_t first = next;
         wire::Transaction t = next_group(steps, next);
         const auto conditions = t.conditions;
-        auto task =
-            node_.state.commit(std::move(t), steady_now() + kCommitDeadline, urgency == Urgency::release);
+        auto task = node_.state.commit(std::move(t), steady_now() + kCommitDeadline,
+                                       CommitPriority{urgency == Urgency::release, std::nullopt});
         const CommitResult r = co_await std::move(task);
         if (r.outcome == Commit::conflict) {
             // Written by somebody else, by an earlier copy of this transaction, or cancelled meanwhile.
--- a/src/service/group_commit.cpp
+++ b/src/service/group_commit.cpp
@@ -93,9 +93,18 @@
     co_await std::move(task);
 }
 
+double GroupCommit::Group::pressing_writes() const {
+    double writes = 0;
+    for (const WriteUnit& unit : units) {
+        if (unit.rank <= WriteRank::overdue_completion) writes += static_cast<double>(unit.writes());
+    }
+    return writes;
+}
+
 Task<bool> GroupCommit::send(Group group) {
     const bool sent_before = in_doubt_.has_value();
-    auto task = node_.state.commit(group.transaction, steady_now() + kCommitTime);
+    const CommitPriority priority{false, group.pressing_writes()};
+    auto task = node_.state.commit(group.transaction, steady_now() + kCommitTime, priority);
     const CommitResult result = co_await std::move(task);
     if (result.outcome == Commit::done) {
         in_doubt_.reset();
--- a/src/service/group_commit.hpp
+++ b/src/service/group_commit.hpp
@@ -37,6 +37,8 @@
         wire::Transaction transaction;
         std::vector<WriteUnit> units;
         core::Stamp epoch() const { return transaction.conditions.front().second; }
+        // Its writes that do not only take what is unused.
+        double pressing_writes() const;
     };
     // As many units from the front as go into one transaction.
     std::size_t fitting(std::span<const WriteUnit> units) const;
--- a/src/service/state_client.cpp
+++ b/src/service/state_client.cpp
@@ -132,12 +132,12 @@
     co_return wire::parse_page(*v);
 }
 
-Task<CommitResult> StateClient::commit(wire::Transaction t, Micros deadline, bool for_user) {
+Task<CommitResult> StateClient::commit(wire::Transaction t, Micros deadline, CommitPriority priority) {
     CommitResult out;
     const auto writes = static_cast<double>(t.writes.size());
-    want(writes);
+    want(priority.demand.value_or(writes));
     auto task = call("POST", "/commit", wire::encode(wire::transaction_request(t)), deadline, writes, false,
-                     4U << 20U, for_user);
+                     4U << 20U, priority.for_user);
     const io::HttpReply r = co_await std::move(task);
     if (r.status == 429 || r.status == 503 || r.never_sent) {
         out.outcome = Commit::not_now;
--- a/src/service/state_client.hpp
+++ b/src/service/state_client.hpp
@@ -38,14 +38,22 @@
     wire::StorePage page;
 };
 
+// Who waits for a commit, and how much of it cannot wait.
+struct CommitPriority {
+    // What a user waits for goes ahead of what this node has queued itself, within limits.
+    bool for_user = false;
+    // Of its writes, those that count as demand; all when nothing is said. What only takes unused writes is
+    // none.
+    std::optional<double> demand;
+};
+
 class StateClient {
   public:
     StateClient(io::Loop& loop, const Settings& s);
 
     io::Task<GetResult> get(std::string key, io::Micros deadline);
     io::Task<std::optional<wire::StorePage>> page(std::string prefix, std::string after);
-    // What a user waits for goes ahead of what this node has queued itself, within limits.
-    io::Task<CommitResult> commit(wire::Transaction t, io::Micros deadline, bool for_user = false);
+    io::Task<CommitResult> commit(wire::Transaction t, io::Micros deadline, CommitPriority priority = {});
     io::Task<std::optional<std::uint64_t>> grant(io::Micros life);
     enum class Renewal : std::uint8_t { done, ended, failed };
     io::Task<Renewal> renew(std::uint64_t grant, io::Micros deadline);
--- a/src/service/users_api.cpp
+++ b/src/service/users_api.cpp
@@ -215,7 +215,7 @@
     } else {
         t.writes.push_back({keys::job(id), wire::job_record(job), 0});
     }
-    auto task = node_.state.commit(std::move(t), deadline, true);
+    auto task = node_.state.commit(std::move(t), deadline, CommitPriority{true, std::nullopt});
     const CommitResult r = co_await std::move(task);
     if (r.outcome == Commit::done && cancelled_by_need) {
         finals_.note(id, {wire::JobStatus::cancelled, 0});
@@ -304,7 +304,7 @@
         const core::Stamp stamp = e->stamp;
         t.conditions = {{keys::job(id), stamp}};
         t.writes.push_back({keys::job(id), wire::job_record(job), 0});
-        auto task = node_.state.commit(std::move(t), deadline, true);
+        auto task = node_.state.commit(std::move(t), deadline, CommitPriority{true, std::nullopt});
         const CommitResult r = co_await std::move(task);
         if (r.outcome == Commit::done) {
             replica_.committed({keys::job(id), wire::job_record(job), r.revision});
--- a/src/service/waiting_jobs.cpp
+++ b/src/service/waiting_jobs.cpp
@@ -164,7 +164,7 @@
             t.writes.push_back({key, record, 0});
             effects.push_back({key, std::move(record), 0});
         }
-        auto task = node_.state.commit(std::move(t), deadline, true);
+        auto task = node_.state.commit(std::move(t), deadline, CommitPriority{true, std::nullopt});
         const CommitResult r = co_await std::move(task);
         if (r.outcome != Commit::done) co_return false;
         replica_.committed(effects, r.revision);
