--- a/tests/user_answers_test.cpp
+++ b/tests/user_answers_test.cpp
@@ -375,12 +375,12 @@
     site.play([](Site& s) -> Task<void> {
         // Two of them fill one page of records, and the third begins another.
         for (const char* id : {"req-1", "req-2", "req-3"}) {
-            Json body = Site::submission(id, "x", "sweep", 60);
-            body["cores"] = 0.01;
-            body["memGb"] = 0.01;
+            Json body = Site::submission(id, "x", "sweep", 250);
+            body["cores"] = 0.005;
+            body["memGb"] = 0.005;
             auto step = s.insist("POST", "/api/jobs", body, {200, 201});
             co_await std::move(step);
-            const std::string last = std::string{id} + "/59";
+            const std::string last = std::string{id} + "/249";
             const std::function<bool()> reached = [&] { return s.world.running.contains(last); };
             auto waiting = s.until(reached);
             co_await std::move(waiting);
