--- a/src/service/users_api.hpp
+++ b/src/service/users_api.hpp
@@ -20,6 +20,20 @@
     io::HttpResponse health() const;
 
   private:
+    // Submissions and cancellations under way at a time.
+    static constexpr std::size_t kMostSubmitting = 64;
+
+    // A well-formed submission.
+    io::Task<io::HttpResponse> decide_submission(core::Job job);
+    // Commits the job, or that it is cancelled because a job that it needs is.
+    io::Task<io::HttpResponse> accept(core::Job job, bool cancelled_by_need, io::Micros deadline);
+    // The state of a job that the state service had at that revision.
+    io::Task<io::HttpResponse> describe_known(std::string id, core::Stamp revision, io::Micros deadline);
+    void drop_unknown_types(core::Job& job) const;
+    // The answer to a cancellation of a job that the replica does not have.
+    io::Task<io::HttpResponse> answer_ended(std::string id, io::Micros deadline);
+    // Nothing when the record has changed meanwhile, and the replica has caught up with that.
+    io::Task<std::optional<io::HttpResponse>> commit_cancel(const core::JobEntry& entry, io::Micros deadline);
     // The answer that a job is cancelled. The other nodes are told first: one of them may keep the job's
     // tasks alive without sight of the state service.
     io::HttpResponse confirm_cancel(const std::string& id) const;
--- /dev/null
+++ b/src/service/users_api_cancel.cpp
@@ -0,0 +1,101 @@
+// Cancellations: committed by whichever node is asked, and told to the others before the user is answered.
+#include "service/user_responses.hpp"
+#include "service/users_api.hpp"
+
+namespace hatchwind::service {
+
+using io::HttpResponse;
+using io::Micros;
+using io::steady_now;
+using io::Task;
+
+namespace {
+constexpr Micros kCancelTime{2'500'000};
+constexpr int kCancelAttempts = 4;
+
+core::Job cancelled_copy(core::Job job, std::size_t value_limit) {
+    job.cancelled = true;
+    job.cancelled_at = io::wall_now();
+    // What a waiting job needed does not matter any more.
+    job.awaits.clear();
+    job.await_parts = 0;
+    if (wire::job_record(job).dump().size() <= value_limit) return job;
+    // Accepted under larger limits. Nothing of a cancelled job is placed any more.
+    job.types.reset();
+    job.image.clear();
+    job.job_class.clear();
+    return job;
+}
+}  // namespace
+
+HttpResponse UsersApi::confirm_cancel(const std::string& id) const {
+    const core::JobEntry* entry = node_.ledger.find(id);
+    if (entry != nullptr && entry->job.cancelled && node_.announce_cancel) {
+        node_.announce_cancel({{{id, entry->stamp, entry->job.cancelled_at.count()}}});
+    }
+    return response_with(200, wire::job_answer(id, wire::JobStatus::cancelled));
+}
+
+Task<HttpResponse> UsersApi::cancel(std::string id) {
+    if (!wire::is_job_id(id)) co_return plain_response(404);
+    if (const FinalState* ended = finals_.known(id))
+        co_return response_with(200, wire::job_answer(id, ended->status));
+    if (submitting_ >= kMostSubmitting) co_return retry_later(429);
+    const RequestCount counted{submitting_};
+    if (!node_.synced || !node_.state.reachable(steady_now())) co_return retry_later();
+    const Micros deadline = steady_now() + kCancelTime;
+    for (int attempt = 0; attempt < kCancelAttempts; ++attempt) {
+        if (node_.ledger.find(id) == nullptr) {
+            auto index = replica_.caught_up(deadline);
+            const bool current = co_await std::move(index);
+            if (!current) co_return retry_later();
+        }
+        const core::JobEntry* entry = node_.ledger.find(id);
+        if (entry == nullptr) {
+            auto answering = answer_ended(id, deadline);
+            HttpResponse response = co_await std::move(answering);
+            co_return response;
+        }
+        if (entry->job.cancelled) co_return confirm_cancel(id);
+        auto committing = commit_cancel(*entry, deadline);
+        const auto response = co_await std::move(committing);
+        if (response) co_return *response;
+    }
+    co_return retry_later();
+}
+
+Task<HttpResponse> UsersApi::answer_ended(std::string id, Micros deadline) {
+    FinalState final_state;
+    core::Stamp revision = 0;
+    auto reading = finals_.find(id, final_state, revision, deadline);
+    const Lookup found = co_await std::move(reading);
+    if (found == Lookup::failed) co_return retry_later();
+    if (found == Lookup::absent) co_return plain_response(404);
+    co_return response_with(200, wire::job_answer(id, final_state.status));
+}
+
+// The entry is not touched after the first suspension: it may be gone by then.
+Task<std::optional<HttpResponse>> UsersApi::commit_cancel(const core::JobEntry& entry, Micros deadline) {
+    const std::string id = entry.job.id;
+    const core::Stamp stamp = entry.stamp;
+    const wire::Json record = wire::job_record(cancelled_copy(entry.job, node_.settings.value_limit()));
+    wire::Transaction transaction;
+    transaction.conditions = {{keys::job(id), stamp}};
+    transaction.writes.push_back({keys::job(id), record, 0});
+    const CommitPriority priority{true, std::nullopt};
+    auto committing = node_.state.commit(std::move(transaction), deadline, priority);
+    const CommitResult result = co_await std::move(committing);
+    if (result.outcome == Commit::done) {
+        replica_.committed({keys::job(id), record, result.revision});
+        node_.work.notify_all();
+        co_return confirm_cancel(id);
+    }
+    if (result.outcome != Commit::conflict) co_return retry_later();
+    // It was finished or cancelled elsewhere in between.
+    auto reaching = replica_.reach_conflict({{keys::job(id), stamp}}, result, deadline);
+    const bool reached = co_await std::move(reaching);
+    if (!reached) co_return retry_later();
+    co_return std::nullopt;
+}
+
+}  // namespace hatchwind::service
--- /dev/null
+++ b/src/service/users_api_submit.cpp
@@ -0,0 +1,158 @@
+// Submissions: checked, then accepted by a commit that is conditional on the id being new.
+#include <algorithm>
+#include <set>
+
+#include "service/user_responses.hpp"
+#include "service/users_api.hpp"
+
+namespace hatchwind::service {
+
+using io::HttpResponse;
+using io::Micros;
+using io::steady_now;
+using io::Task;
+
+namespace {
+constexpr std::size_t kJsonLimit = std::size_t{64} * 1024;
+// The JSON form of a body is at the most so many times as long as its CBOR form.
+constexpr std::size_t kJsonPerCbor = 8;
+constexpr Micros kSubmissionTime{2'500'000};
+
+// Nothing when it is no CBOR, or too large: limits count the JSON form.
+std::optional<wire::Json> submission_body(const io::HttpRequest& request) {
+    auto body = wire::decode(request.body);
+    if (!body || request.body.size() <= kJsonLimit / kJsonPerCbor) return body;
+    const std::string text = body->dump(-1, ' ', false, wire::Json::error_handler_t::replace);
+    return text.size() > kJsonLimit ? std::nullopt : std::move(body);
+}
+}  // namespace
+
+std::optional<std::string> UsersApi::impossible(const core::Job& j) const {
+    const auto team = node_.settings.teams.find(j.team);
+    if (team == node_.settings.teams.end()) return "unknown team";
+    std::set<std::string> zones;  // with machines that fit
+    for (const auto& [name, t] : *node_.catalog) {
+        if (!j.allows_type(name) || !j.need.fits_in(t.size)) continue;
+        for (const auto& z : t.zones) {
+            if (!j.zone || *j.zone == z) zones.insert(z);
+        }
+    }
+    if (zones.empty()) return "fits no allowed machine type";
+    // All tasks of a gang run at once; of other jobs as many may run as one zone takes.
+    const bool one_zone = j.one_zone || zones.size() == 1;
+    if (j.kind == core::JobKind::gang && one_zone && j.zone_cap() < j.tasks) return "can not be spread";
+    const double k = j.kind == core::JobKind::array ? 1.0 : static_cast<double>(j.tasks);
+    if (j.need.cpus * k > team->second.cpus_max + core::kSlack ||
+        j.need.gpus * k > team->second.gpus_max + core::kSlack) {
+        return "needs more than the team's limit";
+    }
+    return std::nullopt;
+}
+
+void UsersApi::drop_unknown_types(core::Job& job) const {
+    if (!job.types) return;
+    std::set<std::string> named;
+    std::erase_if(*job.types, [&](const std::string& type) {
+        return !node_.catalog->contains(type) || !named.insert(type).second;
+    });
+}
+
+Task<HttpResponse> UsersApi::submit(io::HttpRequest request) {
+    if (request.body_too_large) co_return plain_response(400);
+    if (submitting_ >= kMostSubmitting) co_return retry_later(429);
+    const RequestCount counted{submitting_};
+    const auto body = submission_body(request);
+    if (!body) co_return plain_response(400);
+    auto parsed = wire::parse_submission(*body);
+    if (const auto* wrong = std::get_if<std::string>(&parsed)) {
+        HttpResponse refusal = response_with(400, {{"error", "invalid field " + *wrong}});
+        std::string named = wire::text(*body, "id").value_or("");
+        if (!wire::is_job_id(named)) co_return refusal;
+        auto refusing = refuse_unless_accepted(std::move(named), std::move(refusal));
+        HttpResponse response = co_await std::move(refusing);
+        co_return response;
+    }
+    auto deciding = decide_submission(std::get<core::Job>(std::move(parsed)));
+    HttpResponse response = co_await std::move(deciding);
+    co_return response;
+}
+
+Task<HttpResponse> UsersApi::decide_submission(core::Job job) {
+    // What was accepted once is neither refused nor accepted anew, whatever the settings and the catalog say
+    // of it by now.
+    const bool known = finals_.known(job.id) != nullptr || node_.ledger.find(job.id) != nullptr;
+    const std::optional<std::string> why = known || !node_.catalog ? std::nullopt : impossible(job);
+    if (known || !node_.catalog || why) {
+        HttpResponse refusal = why ? response_with(422, {{"error", *why}}) : retry_later();
+        auto refusing = refuse_unless_accepted(job.id, std::move(refusal));
+        HttpResponse response = co_await std::move(refusing);
+        co_return response;
+    }
+    if (!node_.synced || !node_.state.reachable(steady_now())) co_return retry_later();
+    // Types that the cloud does not have add nothing, and a long list would pass the value limit.
+    drop_unknown_types(job);
+    const Micros deadline = steady_now() + kSubmissionTime;
+    bool cancelled_by_need = false;
+    if (!job.awaits.empty()) {
+        auto settling = waiting_jobs_.settle_needs(job, deadline);
+        const auto needs = co_await std::move(settling);
+        if (needs == WaitingJobs::Needs::undecided) co_return retry_later();
+        if (needs == WaitingJobs::Needs::never_accepted) {
+            HttpResponse refusal = response_with(422, {{"error", "awaits a job that was never accepted"}});
+            auto refusing = refuse_unless_accepted(job.id, std::move(refusal));
+            HttpResponse response = co_await std::move(refusing);
+            co_return response;
+        }
+        cancelled_by_need = needs == WaitingJobs::Needs::cancelled;
+    }
+    job.accepted = io::wall_now();
+    auto accepting = accept(std::move(job), cancelled_by_need, deadline);
+    HttpResponse response = co_await std::move(accepting);
+    co_return response;
+}
+
+Task<HttpResponse> UsersApi::accept(core::Job job, bool cancelled_by_need, Micros deadline) {
+    const wire::Json record =
+        cancelled_by_need ? wire::final_record(wire::JobStatus::cancelled, 0) : wire::job_record(job);
+    wire::Transaction transaction;
+    transaction.conditions = {{keys::job(job.id), 0}, {keys::final(job.id), 0}};
+    const std::string key = cancelled_by_need ? keys::final(job.id) : keys::job(job.id);
+    transaction.writes.push_back({key, record, 0});
+    const CommitPriority priority{true, std::nullopt};
+    auto committing = node_.state.commit(std::move(transaction), deadline, priority);
+    const CommitResult result = co_await std::move(committing);
+    if (result.outcome == Commit::done && cancelled_by_need) {
+        finals_.note(job.id, {wire::JobStatus::cancelled, 0});
+        co_return response_with(201, wire::job_answer(job.id, wire::JobStatus::cancelled));
+    }
+    if (result.outcome == Commit::done) {
+        replica_.committed({key, record, result.revision});
+        node_.work.notify_all();
+        node_.fleet_work.notify_all();
+        co_return response_with(201, wire::job_answer(job.id, wire::JobStatus::queued));
+    }
+    // Whether an unanswered commit was carried out, the user's next try will find out.
+    if (result.outcome != Commit::conflict) co_return retry_later();
+    auto describing = describe_known(job.id, result.revision, deadline);
+    HttpResponse response = co_await std::move(describing);
+    co_return response;
+}
+
+Task<HttpResponse> UsersApi::describe_known(std::string id, core::Stamp revision, Micros deadline) {
+    auto reaching = replica_.reach(revision, deadline);
+    const bool reached = co_await std::move(reaching);
+    if (!reached) co_return retry_later();
+    HttpResponse answer;
+    auto describing = describe_unfinished(id, answer, deadline);
+    const Lookup described = co_await std::move(describing);
+    if (described == Lookup::found) co_return answer;
+    if (described == Lookup::failed) co_return retry_later();
+    FinalState final_state;
+    core::Stamp read_at = 0;
+    auto reading = finals_.find(id, final_state, read_at, deadline);
+    const Lookup found = co_await std::move(reading);
+    if (found != Lookup::found) co_return retry_later();
+    co_return response_with(200, wire::job_answer(id, final_state.status, final_state.done, 0));
+}
+
+}  // namespace hatchwind::service
