--- a/src/service/dependencies.cpp
+++ b/src/service/dependencies.cpp
@@ -11,6 +11,7 @@
 using io::Task;
 
 namespace {
+constexpr Micros::rep kMicrosPerMilli = 1000;
 constexpr Micros kInterval{300'000};
 constexpr Micros kGap{30'000};
 constexpr Micros kAfterFailure{200'000};
@@ -76,6 +77,12 @@
 }
 
 void Dependencies::carried_out(Step& step, core::Stamp revision) {
+    if (const core::JobEntry* entry = node_.ledger.find(step.job)) {
+        const Micros waited = io::wall_now() - entry->job.accepted;
+        spdlog::debug("event={} job={} class={} waited_ms={}",
+                      step.final_state ? "waiting_job_cancelled" : "waiting_job_released", step.job,
+                      entry->job.job_class, waited.count() / kMicrosPerMilli);
+    }
     replica_.committed(step.effects, revision);
     if (step.final_state) finals_.note(step.job, *step.final_state);
 }
--- a/src/service/group_commit.cpp
+++ b/src/service/group_commit.cpp
@@ -1,5 +1,7 @@
 #include "service/group_commit.hpp"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -19,6 +21,7 @@
 constexpr Micros kConflictTime{2'000'000};
 constexpr Micros kEraseTime{1'000'000};
 constexpr std::size_t kErasedTogether = 3;
+constexpr Micros::rep kMicrosPerMilli = 1000;
 constexpr Micros kRefusedGroup{10'000'000};  // how long units go one by one after a group was refused
 constexpr Micros kRefusedUnit{2'000'000};    // how long a unit waits that was refused by itself
 }  // namespace
@@ -136,12 +139,23 @@
     co_return false;
 }
 
+// Before the record leaves the replica.
+void GroupCommit::log_end(const std::string& job) const {
+    const core::JobEntry* entry = node_.ledger.find(job);
+    if (entry == nullptr) return;
+    const Micros took = io::wall_now() - entry->job.accepted;
+    spdlog::debug("event=job_ended job={} class={} tasks={} cancelled={} took_ms={}", job,
+                  entry->job.job_class, entry->job.tasks, entry->job.cancelled,
+                  took.count() / kMicrosPerMilli);
+}
+
 void GroupCommit::committed(Group& group, core::Stamp revision) {
     const core::Stamp epoch = group.epoch();
     for (WriteUnit& unit : group.units) committed(unit, revision, epoch);
 }
 
 void GroupCommit::committed(WriteUnit& unit, core::Stamp revision, core::Stamp epoch) {
+    for (const auto& [job, state] : unit.ends) log_end(job);
     replica_.committed(unit.effects, revision);
     for (const auto& [job, state] : unit.ends) replica_.final_states().insert(job, state);
     // Jobs that need these are released without waiting for the watch.
--- a/src/service/group_commit.hpp
+++ b/src/service/group_commit.hpp
@@ -50,6 +50,7 @@
     void committed(WriteUnit& unit, core::Stamp revision, core::Stamp epoch);
     // The ends of attempts may have been recorded by a copy of a transaction that got no answer.
     void reap_what_is_recorded(const Group& group);
+    void log_end(const std::string& job) const;
     bool unused(const core::AttemptPage& page) const;
 
     Node& node_;
