--- a/src/service/replica.cpp
+++ b/src/service/replica.cpp
@@ -56,68 +56,85 @@
 Replica::Replica(Node& n)
     : node_(n), final_states_(final_states_kept(n.settings.memory_mb)), read_done_(n.loop) {}
 
-// Not split yet: one branch for each kind of record.
-// NOLINTNEXTLINE(readability-function-cognitive-complexity)
-void Replica::apply(const wire::StoreItem& item) {
-    const std::string_view key = item.key;
-    bool ok = true;
-    if (key == keys::kEpoch) {
-        if (!item.value) return;
-        auto e = wire::parse_epoch_record(*item.value, item.stamp);
-        ok = e.has_value();
-        if (ok && e->stamp > node_.epoch.stamp) {
-            spdlog::info("event=epoch number={} leader={} members={} at={}", e->number, e->leader,
-                         e->members.size(), item.stamp);
-            node_.epoch = std::move(*e);
-            node_.epoch_seen = steady_now();
-        }
-    } else if (key.starts_with(kNode)) {
-        const std::string label{key.substr(kNode.size())};
-        auto& record = node_.nodes[label];
-        if (record.stamp < item.stamp) {
-            record.stamp = item.value ? item.stamp : 0;
-            record.grant = item.value ? wire::whole(*item.value, "grant").value_or(0) : 0;
-            record.capabilities = item.value ? wire::whole(*item.value, "capabilities").value_or(0) : 0;
-        }
-        if (node_.nodes[label].stamp == 0) node_.nodes.erase(label);
-    } else if (key.starts_with(kJob)) {
-        const std::string id{key.substr(kJob.size())};
-        if (item.value) {
-            auto j = wire::parse_job_record(id, *item.value);
-            ok = j.has_value();
-            if (ok) node_.ledger.put_job(std::move(*j), item.stamp);
-        } else {
-            node_.ledger.erase_job(id, item.stamp);
-        }
-    } else if (key.starts_with(kRun)) {
-        const auto page = page_key(key);
-        ok = page.has_value();
-        if (ok && item.value) {
-            auto chunks = wire::parse_page_record(*item.value);
-            ok = chunks.has_value();
-            if (ok) node_.ledger.put_page(*page, item.stamp, std::move(*chunks));
-        } else if (ok) {
-            node_.ledger.erase_page(*page, item.stamp);
-        }
-    } else if (key.starts_with(kAwaits)) {
-        const auto part = await_part_key(key);
-        ok = part.has_value();
-        if (ok && item.value) {
-            auto ids = wire::parse_job_ids_record(*item.value);
-            ok = ids.has_value();
-            if (ok) node_.ledger.put_await_part(part->job, part->list, part->number, std::move(*ids));
-        } else if (ok) {
-            node_.ledger.erase_await_part(part->job, part->list, part->number);
-        }
-    } else if (key == keys::kDraining && item.value && item.stamp > node_.draining_stamp) {
-        auto names = wire::parse_names_record(*item.value);
-        ok = names.has_value();
-        if (ok) {
-            node_.draining = std::move(*names);
-            node_.draining_stamp = item.stamp;
-        }
+bool Replica::apply_epoch(const wire::StoreItem& item) {
+    if (!item.value) return true;
+    auto epoch = wire::parse_epoch_record(*item.value, item.stamp);
+    if (!epoch) return false;
+    if (epoch->stamp <= node_.epoch.stamp) return true;
+    spdlog::info("event=epoch number={} leader={} members={} at={}", epoch->number, epoch->leader,
+                 epoch->members.size(), item.stamp);
+    node_.epoch = std::move(*epoch);
+    node_.epoch_seen = steady_now();
+    return true;
+}
+
+bool Replica::apply_node(const std::string& label, const wire::StoreItem& item) {
+    core::NodeRecord& record = node_.nodes[label];
+    if (record.stamp < item.stamp) {
+        record.stamp = item.value ? item.stamp : 0;
+        record.grant = item.value ? wire::whole(*item.value, "grant").value_or(0) : 0;
+        record.capabilities = item.value ? wire::whole(*item.value, "capabilities").value_or(0) : 0;
     }
-    if (!ok) spdlog::error("event=bad_record key={} stamp={}", item.key, item.stamp);
+    if (record.stamp == 0) node_.nodes.erase(label);
+    return true;
+}
+
+bool Replica::apply_job(const std::string& id, const wire::StoreItem& item) {
+    if (!item.value) {
+        node_.ledger.erase_job(id, item.stamp);
+        return true;
+    }
+    auto job = wire::parse_job_record(id, *item.value);
+    if (job) node_.ledger.put_job(std::move(*job), item.stamp);
+    return job.has_value();
+}
+
+bool Replica::apply_page(const wire::StoreItem& item) {
+    const auto page = page_key(item.key);
+    if (!page) return false;
+    if (!item.value) {
+        node_.ledger.erase_page(*page, item.stamp);
+        return true;
+    }
+    auto chunks = wire::parse_page_record(*item.value);
+    if (chunks) node_.ledger.put_page(*page, item.stamp, std::move(*chunks));
+    return chunks.has_value();
+}
+
+bool Replica::apply_await_part(const wire::StoreItem& item) {
+    const auto part = await_part_key(item.key);
+    if (!part) return false;
+    if (!item.value) {
+        node_.ledger.erase_await_part(part->job, part->list, part->number);
+        return true;
+    }
+    auto ids = wire::parse_job_ids_record(*item.value);
+    if (ids) node_.ledger.put_await_part(part->job, part->list, part->number, std::move(*ids));
+    return ids.has_value();
+}
+
+bool Replica::apply_draining(const wire::StoreItem& item) {
+    if (!item.value || item.stamp <= node_.draining_stamp) return true;
+    auto names = wire::parse_names_record(*item.value);
+    if (!names) return false;
+    node_.draining = std::move(*names);
+    node_.draining_stamp = item.stamp;
+    return true;
+}
+
+bool Replica::apply_record(const wire::StoreItem& item) {
+    const std::string_view key = item.key;
+    if (key == keys::kEpoch) return apply_epoch(item);
+    if (key == keys::kDraining) return apply_draining(item);
+    if (key.starts_with(kNode)) return apply_node(std::string(key.substr(kNode.size())), item);
+    if (key.starts_with(kJob)) return apply_job(std::string(key.substr(kJob.size())), item);
+    if (key.starts_with(kRun)) return apply_page(item);
+    if (key.starts_with(kAwaits)) return apply_await_part(item);
+    return true;  // of a later version
+}
+
+void Replica::apply(const wire::StoreItem& item) {
+    if (!apply_record(item)) spdlog::error("event=bad_record key={} stamp={}", item.key, item.stamp);
 }
 
 void Replica::note_end(const std::string& id, core::Stamp deleted) {
--- a/src/service/replica.hpp
+++ b/src/service/replica.hpp
@@ -47,6 +47,14 @@
     // the job ended.
     void note_end(const std::string& id, core::Stamp deleted);
     void apply(const wire::StoreItem& item);
+    // One record, by its key. False when it can't be read.
+    bool apply_record(const wire::StoreItem& item);
+    bool apply_epoch(const wire::StoreItem& item);
+    bool apply_node(const std::string& label, const wire::StoreItem& item);
+    bool apply_job(const std::string& id, const wire::StoreItem& item);
+    bool apply_page(const wire::StoreItem& item);
+    bool apply_await_part(const wire::StoreItem& item);
+    bool apply_draining(const wire::StoreItem& item);
     io::Task<bool> load();
     // 0: the copy has no such record.
     core::Stamp stamp_of(std::string_view key) const;
