--- a/src/service/mesh.cpp
+++ b/src/service/mesh.cpp
@@ -28,8 +28,8 @@
 constexpr Micros kUnconfirmed{3'000'000};
 constexpr double kDemandUnitsPerWrite = 10;  // heartbeats tell tenths of a write
 // Demands are means over seconds; what a node wants comes in bursts.
-constexpr double kDemandHeadroom = 1.5;
-constexpr double kIdleWrites = 0.8;  // a second, for what a node without demand may have to write next
+constexpr double kDemandHeadroom = 1.2;
+constexpr double kIdleWrites = 0.5;  // a second, for what a node without demand may have to write next
 constexpr double kLeastDemand = 0.1;
 constexpr double kEvenShare = 0.1;
 }  // namespace
