--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -159,7 +159,8 @@
             continue;
         }
         auto round = draining_.round();
-        co_await std::move(round);
+        const std::size_t drained = co_await std::move(round);
+        renting_.drained(drained);
     }
 }
 
