--- a/src/service/draining.cpp
+++ b/src/service/draining.cpp
@@ -79,7 +79,7 @@
                              state_);
 }
 
-Task<std::size_t> Draining::round() {
+Task<void> Draining::round() {
     const Micros now = steady_now();
     note_stops(now);
     const core::DrainResult result = plan(drain_input(now));
@@ -87,16 +87,15 @@
     for (const auto& [machine, since] : state_.candidate_since) node_.candidates.insert(machine);
     std::vector<std::string> chosen = result.empty;
     chosen.insert(chosen.end(), result.busy.begin(), result.busy.end());
-    if (chosen.empty()) co_return 0;
+    if (chosen.empty()) co_return;
     std::set<std::string> marks = node_.draining;
     for (const auto& machine : chosen) {
         spdlog::info("event=drain machine={} tasks={}", machine, node_.ledger.on_machine(machine).size());
         marks.insert(machine);
     }
     auto task = marks_.write(std::move(marks));
-    const bool written = co_await std::move(task);
+    co_await std::move(task);
     node_.work.notify_all();
-    co_return written ? chosen.size() : 0;
 }
 
 }  // namespace hatchwind::service
--- a/src/service/draining.hpp
+++ b/src/service/draining.hpp
@@ -13,8 +13,8 @@
   public:
     Draining(Node& node, DrainMarks& marks) : node_(node), marks_(marks) {}
 
-    // Plans once, and marks what is chosen. Returns how many machines were marked.
-    io::Task<std::size_t> round();
+    // Plans once, and marks what is chosen.
+    io::Task<void> round();
     // This node has begun to lead.
     void start_term() { state_ = {}; }
     // No rounds are held for now: what was open is not known any more.
--- a/src/service/leader.cpp
+++ b/src/service/leader.cpp
@@ -159,8 +159,7 @@
             continue;
         }
         auto round = draining_.round();
-        const std::size_t drained = co_await std::move(round);
-        renting_.drained(drained);
+        co_await std::move(round);
     }
 }
 
--- a/src/service/renting.cpp
+++ b/src/service/renting.cpp
@@ -39,15 +39,12 @@
     return input;
 }
 
-core::FleetSettings Renting::fleet_settings(Micros now) {
+core::FleetSettings Renting::fleet_settings() const {
     core::FleetSettings settings = node_.tunables.fleet;
     // As many as can be asked for in some seconds.
     const auto fleet = static_cast<double>(node_.cluster_view.machines().size());
     settings.most_per_round = std::max<std::size_t>(
         settings.most_per_round, static_cast<std::size_t>(fleet * node_.tunables.rent_share));
-    // Where the state service's writes bound the starts, machines stood idle, were given back, and were
-    // rented again for the queue that had not moved: 15,000 in a quarter of an hour on 4,000 machines.
-    settings.most_per_round = stabilization_.allowed(settings.most_per_round, now);
     return settings;
 }
 
@@ -57,7 +54,7 @@
     const auto pipelines = core::PipelineSchedule::build(node_.ledger, node_.settings.objectives, input.wall);
     input.pipelines = &pipelines;
     const auto wanted =
-        core::plan_rentals(fleet_settings(now), input,
+        core::plan_rentals(fleet_settings(), input,
                            core::FreeCapacity::build(node_.cluster_view, node_.ledger, *node_.catalog,
                                                      node_.availability(), &node_.free_capacity_cache));
     last_plan_ = std::min(steady_now() - now, kPlanCounted);
--- a/src/service/renting.hpp
+++ b/src/service/renting.hpp
@@ -6,7 +6,6 @@
 #include <string>
 
 #include "core/fleet_planner.hpp"
-#include "core/stabilization_window.hpp"
 #include "service/cloud_client.hpp"
 #include "service/node.hpp"
 #include "service/rental_list.hpp"
@@ -22,14 +21,12 @@
     io::Task<void> round();
     // How long the last plan took; bounded.
     io::Micros last_plan() const { return last_plan_; }
-    // Machines were marked as unneeded.
-    void drained(std::size_t machines) { stabilization_.given_back(machines, io::steady_now()); }
     // A machine of the pool was given back: where one was, there is a place for one.
     void pool_freed(const core::Pool& pool);
 
   private:
     core::FleetInput fleet_input(io::Micros now) const;
-    core::FleetSettings fleet_settings(io::Micros now);
+    core::FleetSettings fleet_settings() const;
     std::string next_request();
     io::Task<void> rent_from(core::Pool pool, unsigned number);
     void take_reply(const core::Pool& pool, unsigned number, const io::HttpReply& reply);
@@ -40,7 +37,6 @@
     RentalList& rentals_;
     std::map<core::Pool, io::Micros> refused_until_;  // steady
     std::map<core::Pool, int> refusals_;
-    core::StabilizationWindow stabilization_;
     std::uint64_t request_ = 0;
     io::Micros last_plan_{0};
 };
