An overdue gang stops lower-priority tasks of its own team that fill the team's limit

Cause: an overdue gang that its team's limit keeps out holds the rest of the limit back from the whole team, and waited until long tasks of lower priority had ended. Ruled out: write budget, records in doubt, backoff, silent machines. Change: core/overdue_gang_preemption stops as few of these tasks as are needed, and only where the whole gang then fits.

--- /dev/null
+++ b/src/core/overdue_gang_preemption.cpp
@@ -0,0 +1,219 @@
+#include "core/overdue_gang_preemption.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <span>
+#include <utility>
+
+#include "core/cluster_view.hpp"
+#include "core/pipeline_schedule.hpp"
+
+namespace hatchwind::core {
+
+namespace {
+
+// Until the next passes have made the reservation anew.
+constexpr Micros kReservationTime{5'000'000};
+constexpr double kSaveMarginSeconds = 0.5;
+
+}  // namespace
+
+// The tasks of the youngest job have run for the shortest time, and it has the fewest that are done.
+bool OverdueGangPreemption::loses_less(const Victim& left, const Victim& right) {
+    if (left.fetching != right.fetching) return left.fetching;
+    return left.entry->job.accepted > right.entry->job.accepted;
+}
+
+bool OverdueGangPreemption::may_be_stopped(const Job& victim, const Job& gang) const {
+    const PipelineSchedule* pipelines = trial_.input().pipelines;
+    const Priority priority = effective_priority(victim, pipelines);
+    return victim.team == gang.team && victim.kind != JobKind::gang && priority != Priority::production &&
+           priority < effective_priority(gang, pipelines);
+}
+
+void OverdueGangPreemption::add_tasks_of(std::size_t machine, const JobEntry& gang, TeamTasks& tasks) const {
+    const MachineCapacity& host = trial_.capacity().machines()[machine];
+    if (host.recorded_attempts == nullptr || host.view == nullptr) return;
+    for (const auto& [task, recorded] : *host.recorded_attempts) {
+        const Job& job = recorded.entry->job;
+        if (!may_be_stopped(job, gang.job)) continue;
+        const auto view =
+            view_attempt(*host.view, task.job, task.task, recorded.number, recorded.incarnation);
+        if (view.status != AttemptStatus::live) continue;
+        if (view.state == TaskState::saving || trial_.input().stopping.contains(task)) {
+            tasks.leaving[machine] += job.resources;
+            tasks.leaving_sum += job.resources;
+            continue;
+        }
+        const bool fetching = view.state == TaskState::fetching;
+        tasks.victims[machine].push_back({recorded.entry, task.task, recorded.number, machine, fetching});
+    }
+    auto& victims = tasks.victims[machine];
+    std::stable_sort(victims.begin(), victims.end(), loses_less);
+}
+
+OverdueGangPreemption::TeamTasks OverdueGangPreemption::tasks_below(const JobEntry& gang) const {
+    TeamTasks tasks;
+    for (std::size_t i = 0; i < trial_.capacity().machines().size(); ++i) add_tasks_of(i, gang, tasks);
+    return tasks;
+}
+
+std::vector<std::string> OverdueGangPreemption::zones_for(const Job& gang) const {
+    if (!gang.one_zone) return {""};
+    std::set<std::string> zones;
+    for (const auto& machine : trial_.capacity().machines()) {
+        if (machine.usable && may_run_on(gang, machine)) zones.insert(machine.zone);
+    }
+    return {zones.begin(), zones.end()};
+}
+
+/// Chooses machines for the tasks of one gang, one task after the other, each where the fewest others stop.
+/// In one zone, or in any when `zone` is empty.
+class OverdueGangPreemption::ZonePlanner {
+  public:
+    ZonePlanner(const PlacementTrial& trial, const JobEntry& gang, const TeamTasks& tasks, std::string zone)
+        : trial_(trial), gang_(gang), tasks_(tasks), zone_(std::move(zone)) {
+        for (const auto& machine : trial.capacity().machines()) free_.push_back(machine.free);
+        for (const auto& [machine, resources] : tasks.leaving) free_[machine] += resources;
+    }
+
+    /// Without machines when the gang does not fit.
+    Plan plan() {
+        for (std::uint32_t task = 0; task < gang_.job.tasks; ++task) {
+            const auto choice = choose(task);
+            if (!choice) return {};
+            take(*choice);
+        }
+        return std::move(plan_);
+    }
+
+  private:
+    struct Choice {
+        std::size_t machine = 0;
+        std::size_t victims = 0;  // so many more of that machine's
+    };
+
+    bool suits(std::size_t position, std::uint32_t task) const {
+        const MachineCapacity& machine = trial_.capacity().machines()[position];
+        if (!zone_.empty() && machine.zone != zone_) return false;
+        if (!machine.usable || machine.draining || !may_run_on(gang_.job, machine)) return false;
+        return zones_.allows(gang_.job, machine.zone) && !trial_.listed_on(position, gang_, task);
+    }
+
+    // Those of the machine that were not taken for an earlier task.
+    std::span<const Victim> remaining_victims(std::size_t machine) const {
+        const auto victims = tasks_.victims.find(machine);
+        if (victims == tasks_.victims.end()) return {};
+        const auto taken = taken_.find(machine);
+        return std::span{victims->second}.subspan(taken == taken_.end() ? 0 : taken->second);
+    }
+
+    // Nothing when the machine is too small even without them.
+    std::optional<std::size_t> victims_needed(std::size_t machine) const {
+        Resources free = free_[machine];
+        std::size_t count = 0;
+        for (const Victim& victim : remaining_victims(machine)) {
+            if (gang_.job.resources.fits_in(free)) break;
+            free += victim.entry->job.resources;
+            ++count;
+        }
+        if (!gang_.job.resources.fits_in(free)) return std::nullopt;
+        return count;
+    }
+
+    std::optional<Choice> choose(std::uint32_t task) const {
+        std::optional<Choice> best;
+        for (std::size_t machine = 0; machine < free_.size(); ++machine) {
+            if (!suits(machine, task)) continue;
+            const auto victims = victims_needed(machine);
+            if (victims && (!best || *victims < best->victims)) best = Choice{machine, *victims};
+        }
+        return best;
+    }
+
+    void take(const Choice& choice) {
+        for (const Victim& victim : remaining_victims(choice.machine).first(choice.victims)) {
+            free_[choice.machine] += victim.entry->job.resources;
+            plan_.victims.push_back(victim);
+        }
+        taken_[choice.machine] += choice.victims;
+        free_[choice.machine] -= gang_.job.resources;
+        zones_.add(trial_.capacity().machines()[choice.machine].zone);
+        plan_.machines.push_back(choice.machine);
+    }
+
+    const PlacementTrial& trial_;
+    const JobEntry& gang_;
+    const TeamTasks& tasks_;
+    std::string zone_;
+    std::vector<Resources> free_;               // by machine, with what is leaving
+    std::map<std::size_t, std::size_t> taken_;  // by machine: victims from the front
+    ZoneUse zones_;
+    Plan plan_;
+};
+
+bool OverdueGangPreemption::meet_limit(const JobEntry& gang, const TeamTasks& tasks, Plan& plan) const {
+    const Team& team = trial_.input().teams->at(gang.job.team);
+    Resources use = trial_.team_use(gang.job.team);
+    use += gang.job.resources * static_cast<double>(gang.job.tasks);
+    use -= tasks.leaving_sum;
+    std::set<TaskRef> chosen;
+    for (const Victim& victim : plan.victims) {
+        use -= victim.entry->job.resources;
+        chosen.insert({victim.entry->job.id, victim.task});
+    }
+    const auto fits = [&] {
+        return use.cpus <= team.cpus_max + kResourceTolerance &&
+               use.gpus <= team.gpus_max + kResourceTolerance;
+    };
+    std::vector<Victim> others;
+    for (const auto& [machine, victims] : tasks.victims)
+        others.insert(others.end(), victims.begin(), victims.end());
+    std::stable_sort(others.begin(), others.end(), loses_less);
+    for (const Victim& victim : others) {
+        if (fits()) return true;
+        if (!chosen.insert({victim.entry->job.id, victim.task}).second) continue;
+        use -= victim.entry->job.resources;
+        plan.victims.push_back(victim);
+    }
+    return fits();
+}
+
+void OverdueGangPreemption::carry_out(const JobEntry& gang, const Plan& plan) {
+    PlacementResult& result = trial_.result();
+    const auto& machines = trial_.capacity().machines();
+    for (const Victim& victim : plan.victims) {
+        // What is left is stopped in the next passes.
+        if (result.stops.size() >= trial_.input().most_stops) break;
+        const Job& job = victim.entry->job;
+        const MachineCapacity& host = machines[victim.machine];
+        const double grace_s = job.checkpoint_s > 0 ? job.save_s + kSaveMarginSeconds : 0;
+        trial_.stop(job);
+        result.stops.push_back({job.id, victim.task, {victim.attempt, host.id, host.incarnation}, grace_s});
+    }
+    for (std::uint32_t task = 0; task < plan.machines.size(); ++task) {
+        const Reservation reservation{machines[plan.machines[task]].id, gang.job.resources,
+                                      trial_.input().now + kReservationTime, true};
+        result.reservations[{gang.job.id, task}] = reservation;
+        trial_.reserve(reservation);
+    }
+}
+
+bool OverdueGangPreemption::make_room(const JobEntry& gang) {
+    // A gang that lost tasks holds its other machines already.
+    if (gang.open != 0) return false;
+    const TeamTasks tasks = tasks_below(gang);
+    Plan cheapest;
+    for (const std::string& zone : zones_for(gang.job)) {
+        Plan plan = ZonePlanner{trial_, gang, tasks, zone}.plan();
+        if (plan.machines.empty() || !meet_limit(gang, tasks, plan)) continue;
+        if (cheapest.machines.empty() || plan.victims.size() < cheapest.victims.size())
+            cheapest = std::move(plan);
+    }
+    if (cheapest.machines.empty()) return false;
+    carry_out(gang, cheapest);
+    return true;
+}
+
+}  // namespace hatchwind::core
--- a/src/core/placement.cpp
+++ b/src/core/placement.cpp
@@ -7,6 +7,7 @@
 #include "core/capacity_reservation.hpp"
 #include "core/fair_share_ranking.hpp"
 #include "core/gang_placement.hpp"
+#include "core/overdue_gang_preemption.hpp"
 #include "core/placement_trial.hpp"
 #include "core/preemption.hpp"
 #include "core/queue_order.hpp"
@@ -24,7 +25,8 @@
           ranking_(trial_),
           preemption_(trial_, ranking_),
           tasks_(trial_, search_, ranking_, preemption_),
-          gangs_(trial_, search_, tasks_) {}
+          gangs_(trial_, search_, tasks_),
+          overdue_gangs_(trial_) {}
 
     PlacementResult run() {
         const PlacementInput& input = trial_.input();
@@ -82,8 +84,9 @@
         if (!trial_.within_limit(entry.job, tasks)) {
             // The team's later jobs would take what its limit leaves, for ever. Where its services alone keep
             // this one out, waiting with it serves nobody.
-            if (trial_.within_limit_beside_services(entry.job, tasks))
-                trial_.charge_team(entry.job.team, entry.job.resources * static_cast<double>(tasks));
+            if (!trial_.within_limit_beside_services(entry.job, tasks)) return;
+            if (gang) overdue_gangs_.make_room(entry);
+            trial_.charge_team(entry.job.team, entry.job.resources * static_cast<double>(tasks));
             return;
         }
         const auto starts_before = trial_.result().starts.size();
@@ -103,6 +106,7 @@
     Preemption preemption_;
     TaskPlacement tasks_;
     GangPlacement gangs_;
+    OverdueGangPreemption overdue_gangs_;
     std::unordered_set<const JobEntry*> begun_;
 };
 
