A cancel is committed once the job's shard owner has fenced its starts

Change: before the commit the shard owner holds the job's starts, stops tasks that are fetching, and acknowledges once no start is in flight; bounded by 1 s. The commit is conditional on the epoch. CommandSender drops starts of cancelled or held jobs at the moment of sending. New frames go to controllers that announce them; the test of kinds of frames now names these two and the test that shows it.

--- a/src/api/user_api.hpp
+++ b/src/api/user_api.hpp
@@ -18,6 +18,7 @@
 #include "store/final_state_reader.hpp"
 #include "store/replica.hpp"
 #include "store/replicated_state.hpp"
+#include "workers/start_fence.hpp"
 #include "workers/worker_status.hpp"
 
 namespace hatchwind::controller {
@@ -34,6 +35,7 @@
     Replica& replica;                ///< takes these commits before the watch brings them
     FinalStateReader& final_states;  ///< caches what it reads
     PeerLinks& links;                ///< broadcasts cancellations
+    StartFence& start_fence;         ///< before a cancellation is committed
     ChangeSignals& signals;
 };
 
--- a/src/api/user_api_cancel.cpp
+++ b/src/api/user_api_cancel.cpp
@@ -24,6 +24,8 @@
 
 namespace {
 constexpr Micros kCancelTime{2'500'000};
+// Of that, kept for the commit when the job's starts are slow to be fenced.
+constexpr Micros kCommitTime{1'200'000};
 constexpr int kMaxCommitAttempts = 4;  // each but the last ended in a conflict
 
 // The job as cancelled now, in a record of at most so many bytes.
@@ -92,8 +94,19 @@
     const std::string id = entry.job.id;
     const core::Revision mod_revision = entry.mod_revision;
     const wire::Json record = wire::job_record(cancelled_copy(entry.job, context_.settings.value_limit()));
+    const bool may_have_tasks = !entry.job.waiting();
+    const core::Revision epoch = context_.replicated.epoch().mod_revision;
+    bool fenced = false;
+    if (may_have_tasks) {
+        std::string team = entry.job.team;
+        auto fencing = context_.start_fence.fence(id, std::move(team), deadline - kCommitTime);
+        fenced = co_await std::move(fencing);
+    }
     wire::Transaction transaction;
     transaction.conditions = {{keys::job(id), mod_revision}};
+    // The next epoch's shard owner has not fenced the job.
+    if (fenced) transaction.conditions.push_back({keys::kEpoch, epoch});
+    const std::vector<wire::Condition> conditions = transaction.conditions;
     transaction.writes.push_back({keys::job(id), record, 0});
     auto committing = context_.store.commit(std::move(transaction), deadline, kUserCommit);
     const CommitResult result = co_await std::move(committing);
@@ -103,8 +116,8 @@
         co_return confirm_cancel(id);
     }
     if (result.outcome != CommitOutcome::conflict) co_return retry_later();
-    // It has ended, or was cancelled by way of another controller, in between.
-    auto waiting = context_.replica.wait_for_conflict({{keys::job(id), mod_revision}}, result, deadline);
+    // It has ended, was cancelled by way of another controller, or a new epoch began, in between.
+    auto waiting = context_.replica.wait_for_conflict(conditions, result, deadline);
     const bool reached = co_await std::move(waiting);
     if (!reached) co_return retry_later();
     co_return std::nullopt;
--- a/src/cluster/peer_links.hpp
+++ b/src/cluster/peer_links.hpp
@@ -20,6 +20,7 @@
     std::string out;    ///< frames that wait; bounded
     io::Signal filled;  ///< something was queued
     bool connected = false;
+    io::Micros connected_at{0};       ///< monotonic clock: when the present connection was made
     bool missed = false;              ///< the queue was full when something was to be sent
     io::Micros answered_until{0};     ///< wall clock: lease renewals have been reported up to then
     std::uint64_t released_told = 0;  ///< position in the released machines, likewise
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -35,6 +35,8 @@
 #include "workers/heartbeat_handler.hpp"
 #include "workers/reachability_monitor.hpp"
 #include "workers/reachability_probes.hpp"
+#include "workers/start_fence.hpp"
+#include "workers/start_holds.hpp"
 #include "workers/worker_leases.hpp"
 #include "workers/worker_status.hpp"
 
@@ -66,6 +68,7 @@
     core::FreeCapacityCache free_capacity_cache_;  // shared by the planners
     io::HttpClient worker_http_;
     io::HttpClient cloud_http_;
+    StartHolds holds_;
     WorkerLeases leases_;
     ReachabilityProbes probes_;
     WorkerStatus workers_;
@@ -75,11 +78,12 @@
     Replica replica_;
     Membership membership_;
     WriteShare write_share_;
+    CommandSender commands_;
+    StartFence start_fence_;
     PeerMessageHandler peer_messages_;
     PeerHeartbeats peer_heartbeats_;
     PeerMesh peer_mesh_;
     HeartbeatHandler heartbeats_;
-    CommandSender commands_;
     ReachabilityMonitor reachability_;
     FinalStateReader final_states_;
     UserApi user_api_;
--- a/src/core/epoch.hpp
+++ b/src/core/epoch.hpp
@@ -52,7 +52,9 @@
 constexpr std::uint64_t kKnowsWaitingJobs = 1;
 /// Takes its part of the store's writes by core/fair_share.hpp; earlier versions in proportion to demand.
 constexpr std::uint64_t kSharesWritesFairly = 2;
-constexpr std::uint64_t kCapabilities = kKnowsWaitingJobs | kSharesWritesFairly;
+/// Understands wire::StartHoldRequest.
+constexpr std::uint64_t kHoldsStarts = 4;
+constexpr std::uint64_t kCapabilities = kKnowsWaitingJobs | kSharesWritesFairly | kHoldsStarts;
 /// @}
 
 /// The key of a live controller, as the store has it. It is bound to the store lease and goes with it.
--- a/src/mesh/peer_mesh.cpp
+++ b/src/mesh/peer_mesh.cpp
@@ -62,7 +62,8 @@
         }
         link.out = wire::encode_frame(wire::PeerHandshake{wire::kPeerProtocolVersion, label_});
         link.connected = true;
-        link.confirmed = steady_now();
+        link.connected_at = steady_now();
+        link.confirmed = link.connected_at;
         queue_cluster_view(link);
         auto writing = write_frames(link, *socket);
         co_await std::move(writing);
--- a/src/mesh/peer_message_handler.cpp
+++ b/src/mesh/peer_message_handler.cpp
@@ -75,6 +75,10 @@
         context_.replica.apply_cancellations(broadcast->cancellations);
     } else if (const auto* reservation = std::get_if<wire::CapacityReservationNotice>(&message)) {
         handle_reservation(*reservation);
+    } else if (const auto* hold = std::get_if<wire::StartHoldRequest>(&message)) {
+        context_.start_fence.handle_request(from, *hold);
+    } else if (const auto* held = std::get_if<wire::StartHoldAcknowledgement>(&message)) {
+        context_.start_fence.handle_acknowledgement(*held);
     }
 }
 
--- a/src/mesh/peer_message_handler.hpp
+++ b/src/mesh/peer_message_handler.hpp
@@ -13,6 +13,7 @@
 #include "store/replicated_state.hpp"
 #include "wire/peer_protocol.hpp"
 #include "workers/reachability_probes.hpp"
+#include "workers/start_fence.hpp"
 #include "workers/worker_status.hpp"
 
 namespace hatchwind::controller {
@@ -29,6 +30,7 @@
     WorkerStatus& workers;
     ReachabilityProbes& probes;
     WriteShare& write_share;
+    StartFence& start_fence;
 };
 
 /// Applies each message to the state that it concerns. Only messages that come after a valid handshake get
--- a/src/scheduling/placement_round.cpp
+++ b/src/scheduling/placement_round.cpp
@@ -45,6 +45,15 @@
     });
 }
 
+std::map<std::string, Micros> PlacementRound::job_backoff() const {
+    std::map<std::string, Micros> backoff = context_.failure_backoff.job_backoff();
+    for (const auto& [job, until] : context_.holds.all()) {
+        Micros& later = backoff[job];
+        later = std::max(later, until);
+    }
+    return backoff;
+}
+
 void PlacementRound::add_reservations(core::PlacementInput& input) {
     input.reservations = reservations_;
     std::erase_if(preempting_until_, [&](const auto& task) { return task.second <= input.now; });
@@ -67,7 +76,7 @@
 std::size_t PlacementRound::run(StagedRecords& staged, std::size_t max_records) {
     core::PlacementInput input = gather_input(max_records);
     if (!anything_to_start(input)) return 0;
-    input.job_backoff = context_.failure_backoff.job_backoff();
+    input.job_backoff = job_backoff();
     const auto pipelines = core::PipelineSchedule::build(context_.replicated.job_table(),
                                                          context_.settings.objectives, input.wall_clock_now);
     input.pipelines = &pipelines;
--- a/src/scheduling/placement_round.hpp
+++ b/src/scheduling/placement_round.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include "cluster/leadership.hpp"
@@ -17,6 +18,7 @@
 #include "scheduling/failure_backoff.hpp"
 #include "scheduling/staged_records.hpp"
 #include "store/replicated_state.hpp"
+#include "workers/start_holds.hpp"
 #include "workers/worker_status.hpp"
 
 namespace hatchwind::controller {
@@ -33,6 +35,7 @@
     PeerReservations& peer_reservations;
     PeerLinks& links;
     CommandDispatcher& dispatcher;
+    const StartHolds& holds;
 };
 
 /// Starts are staged only: they are sent after their commit. Preemptions are sent at once.
@@ -49,6 +52,8 @@
   private:
     core::PlacementInput gather_input(std::size_t max_records) const;
     bool anything_to_start(const core::PlacementInput& input) const;
+    /// Jobs that failed lately, or whose starts are held.
+    std::map<std::string, io::Micros> job_backoff() const;
     void add_reservations(core::PlacementInput& input);
     core::FreeCapacity free_capacity(io::Micros monotonic_now);
     void apply(core::PlacementResult& result, StagedRecords& staged, io::Micros monotonic_now);
--- a/src/scheduling/shard_scheduler.cpp
+++ b/src/scheduling/shard_scheduler.cpp
@@ -33,7 +33,7 @@
                   dispatcher_, failure_backoff_),
       placement_({context.settings, context.catalog, context.replicated, context.leadership, context.workers,
                   failure_backoff_, context.free_capacity_cache, context.reservations, context.links,
-                  dispatcher_}),
+                  dispatcher_, context.holds}),
       page_writer_(context.settings, context.replicated, context.leadership, context.workers),
       commit_({context.loop, context.settings, context.replicated, context.leadership, context.store,
                context.replica, context.signals, page_writer_, dispatcher_}) {}
--- a/src/scheduling/shard_scheduler.hpp
+++ b/src/scheduling/shard_scheduler.hpp
@@ -37,6 +37,7 @@
     PeerReservations& reservations;
     PeerLinks& links;
     CommandSender& commands;
+    const StartHolds& holds;
     core::FreeCapacityCache& free_capacity_cache;
     ChangeSignals& signals;
 };
--- a/src/store/change_signals.hpp
+++ b/src/store/change_signals.hpp
@@ -9,7 +9,7 @@
 /// no harm.
 struct ChangeSignals {
     explicit ChangeSignals(io::Loop& loop)
-        : replica_advanced(loop), scheduling_needed(loop), scaling_needed(loop) {}
+        : replica_advanced(loop), scheduling_needed(loop), scaling_needed(loop), commands_answered(loop) {}
 
     /// The replica of the store has reached a later revision.
     io::Signal replica_advanced;
@@ -17,6 +17,8 @@
     io::Signal scheduling_needed;
     /// Something changed that may call for more machines.
     io::Signal scaling_needed;
+    /// A worker has answered commands, or their request has failed.
+    io::Signal commands_answered;
 };
 
 }  // namespace hatchwind::controller
--- a/src/wire/peer_protocol.cpp
+++ b/src/wire/peer_protocol.cpp
@@ -17,6 +17,8 @@
     capacity_reservation = 6,
     worker_keep_alive = 7,
     cancellation = 8,
+    start_hold_request = 9,
+    start_hold_acknowledgement = 10,
 };
 
 // A varint has seven bits of the number in each byte, the lowest first, and a bit that tells whether another
@@ -232,6 +234,14 @@
     writer.flag(message.waiting);
 }
 
+void write(Writer& writer, const StartHoldRequest& message) {
+    writer.varint(message.number);
+    writer.text(message.job);
+    writer.varint(message.wait_us);
+}
+
+void write(Writer& writer, const StartHoldAcknowledgement& message) { writer.varint(message.number); }
+
 std::vector<CancellationNotice> read_cancellations(Reader& reader) {
     std::vector<CancellationNotice> cancellations;
     for (auto left = reader.optional_count(); left > 0 && reader.ok(); --left) {
@@ -352,6 +362,14 @@
     return message;
 }
 
+StartHoldRequest read_start_hold_request(Reader& reader) {
+    StartHoldRequest message;
+    message.number = reader.varint();
+    message.job = reader.text();
+    message.wait_us = reader.varint();
+    return message;
+}
+
 // Nothing for an unknown kind, or a value that the kind does not allow.
 std::optional<PeerMessage> read_message(Kind kind, Reader& reader) {
     switch (kind) {
@@ -371,6 +389,10 @@
             return read_worker_keep_alive(reader);
         case Kind::cancellation:
             return CancellationBroadcast{read_cancellations(reader)};
+        case Kind::start_hold_request:
+            return read_start_hold_request(reader);
+        case Kind::start_hold_acknowledgement:
+            return StartHoldAcknowledgement{reader.varint()};
     }
     return std::nullopt;
 }
@@ -394,7 +416,9 @@
                                           Kind::lease_extension_vote,
                                           Kind::capacity_reservation,
                                           Kind::worker_keep_alive,
-                                          Kind::cancellation};
+                                          Kind::cancellation,
+                                          Kind::start_hold_request,
+                                          Kind::start_hold_acknowledgement};
     static_assert(kKinds.size() == std::variant_size_v<PeerMessage>);
     Writer writer{kKinds[message.index()]};
     std::visit([&](const auto& content) { write(writer, content); }, message);
--- a/src/wire/peer_protocol.hpp
+++ b/src/wire/peer_protocol.hpp
@@ -115,10 +115,25 @@
     friend bool operator==(const CancellationBroadcast&, const CancellationBroadcast&) = default;
 };
 
+/// Asks a shard owner to fence the starts of a job whose cancellation is about to be committed. Only for
+/// peers that announce core::kHoldsStarts.
+struct StartHoldRequest {
+    std::uint64_t number = 0;  ///< returned with the acknowledgement
+    std::string job;
+    std::uint64_t wait_us = 0;  ///< microseconds from its arrival for which the sender waits
+    friend bool operator==(const StartHoldRequest&, const StartHoldRequest&) = default;
+};
+
+/// The answer to StartHoldRequest: the job is held, and none of its starts is under way.
+struct StartHoldAcknowledgement {
+    std::uint64_t number = 0;  ///< of the request
+    friend bool operator==(const StartHoldAcknowledgement&, const StartHoldAcknowledgement&) = default;
+};
+
 /// Any message of the protocol.
-using PeerMessage =
-    std::variant<PeerHandshake, PeerHeartbeat, WorkerStatusUpdate, LeaseExtensionRequest, LeaseExtensionVote,
-                 CapacityReservationNotice, WorkerKeepAlive, CancellationBroadcast>;
+using PeerMessage = std::variant<PeerHandshake, PeerHeartbeat, WorkerStatusUpdate, LeaseExtensionRequest,
+                                 LeaseExtensionVote, CapacityReservationNotice, WorkerKeepAlive,
+                                 CancellationBroadcast, StartHoldRequest, StartHoldAcknowledgement>;
 
 /// The frame of a message: length, kind and fields.
 std::string encode_frame(const PeerMessage& message);
--- a/src/workers/command_sender.cpp
+++ b/src/workers/command_sender.cpp
@@ -2,6 +2,7 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "io/http_status.hpp"
@@ -93,6 +94,49 @@
                   reply.status_or(kNoResponse), commands.size());
 }
 
+// A stop behind it in the same request ends what the start begins: such a pair makes the worker know the
+// attempt as exited, so that a late copy of the start changes nothing.
+bool CommandSender::is_forbidden(const CommandQueue& queue, std::size_t position) const {
+    const core::WorkerCommand& command = queue.commands[position];
+    if (command.kind != core::CommandKind::start) return false;
+    const core::JobEntry* entry = context_.replicated.job_table().find(command.job);
+    const bool cancelled = entry != nullptr && entry->job.cancelled;
+    if (!cancelled && !context_.holds.holds(command.job, steady_now())) return false;
+    const auto behind = queue.commands.begin() + static_cast<std::ptrdiff_t>(position) + 1;
+    return std::none_of(behind, queue.commands.end(), [&](const core::WorkerCommand& later) {
+        return later.kind == core::CommandKind::stop && later.job == command.job &&
+               later.task == command.task && later.attempt == command.attempt;
+    });
+}
+
+void CommandSender::drop_forbidden_starts(CommandQueue& queue) {
+    std::vector<core::WorkerCommand> kept;
+    for (std::size_t i = 0; i < queue.commands.size(); ++i) {
+        if (is_forbidden(queue, i)) {
+            spdlog::debug("event=start_dropped job={} task={}", queue.commands[i].job,
+                          queue.commands[i].task);
+            resolve_start_copy(queue.commands[i], queue.epoch);
+        } else {
+            kept.push_back(queue.commands[i]);
+        }
+    }
+    queue.commands = std::move(kept);
+}
+
+void CommandSender::count_in_flight(const std::vector<core::WorkerCommand>& commands) {
+    for (const auto& command : commands) {
+        if (command.kind == core::CommandKind::start) ++starts_in_flight_[command.job];
+    }
+}
+
+void CommandSender::resolve_in_flight(const std::vector<core::WorkerCommand>& commands) {
+    for (const auto& command : commands) {
+        if (command.kind != core::CommandKind::start) continue;
+        const auto job = starts_in_flight_.find(command.job);
+        if (--job->second == 0) starts_in_flight_.erase(job);
+    }
+}
+
 Task<void> CommandSender::send(std::string machine) {
     // Commands of the same turn of the loop go out together.
     co_await context_.loop.yield();
@@ -107,13 +151,18 @@
             queues_.erase(queue);
             co_return;
         }
+        drop_forbidden_starts(queue->second);
+        if (queue->second.commands.empty()) continue;
         const auto commands = std::exchange(queue->second.commands, {});
         const std::uint64_t epoch = queue->second.epoch;
         auto body = wire::encode(wire::commands_request(epoch, queue->second.incarnation, commands));
         auto sending = context_.worker_http.send(*address, "POST", "/orders", std::move(body),
                                                  steady_now() + kCommandTimeout, kMaxWorkerStatusBytes);
+        count_in_flight(commands);
         const io::HttpResult reply = co_await std::move(sending);
+        resolve_in_flight(commands);
         handle_reply(machine, epoch, commands, reply);
+        context_.signals.commands_answered.notify_all();
     }
 }
 
--- a/src/workers/command_sender.hpp
+++ b/src/workers/command_sender.hpp
@@ -19,6 +19,7 @@
 #include "store/change_signals.hpp"
 #include "store/replicated_state.hpp"
 #include "workers/reachability_probes.hpp"
+#include "workers/start_holds.hpp"
 #include "workers/worker_status.hpp"
 
 namespace hatchwind::controller {
@@ -33,6 +34,7 @@
     ReachabilityProbes& probes;
     ChangeSignals& signals;
     io::HttpClient& worker_http;
+    const StartHolds& holds;
 };
 
 /// Commands are sent only while this controller holds its leadership lease.
@@ -46,6 +48,8 @@
     /// True while a copy of this attempt's start, sent under the current epoch, may still be under way: then
     /// the acknowledgement of its exit could be followed by a second start.
     bool start_pending(const std::string& job, std::uint32_t task, std::uint64_t attempt) const;
+    /// True while a request with a start of the job has been sent and may still be answered.
+    bool start_in_flight(const std::string& job) const { return starts_in_flight_.contains(job); }
 
   private:
     struct CommandQueue {
@@ -71,6 +75,12 @@
     std::uint64_t epoch_number() const { return context_.replicated.epoch().number; }
     /// Sends the machine's queue until it is empty, or nothing may be sent any more.
     io::Task<void> send(std::string machine);
+    /// Starts of cancelled or held jobs leave the queue unsent: what was right when it was queued may not be
+    /// right any more.
+    void drop_forbidden_starts(CommandQueue& queue);
+    bool is_forbidden(const CommandQueue& queue, std::size_t position) const;
+    void count_in_flight(const std::vector<core::WorkerCommand>& commands);
+    void resolve_in_flight(const std::vector<core::WorkerCommand>& commands);
     void handle_reply(const std::string& machine, std::uint64_t epoch,
                       const std::vector<core::WorkerCommand>& commands, const io::HttpResult& reply);
     void count_start(const core::WorkerCommand& command);
@@ -83,7 +93,8 @@
     const CommandSenderContext context_;
     std::map<std::string, CommandQueue> queues_;  // by machine
     std::map<AttemptKey, UnansweredStart> unanswered_starts_;
-    std::uint64_t oldest_unanswered_epoch_ = 0;  // no entry is of an earlier epoch
+    std::map<std::string, std::size_t> starts_in_flight_;  // by job: sent, and the request is not over
+    std::uint64_t oldest_unanswered_epoch_ = 0;            // no entry is of an earlier epoch
 };
 
 }  // namespace hatchwind::controller
--- /dev/null
+++ b/src/workers/start_fence.cpp
@@ -0,0 +1,109 @@
+#include "workers/start_fence.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "core/cluster_view.hpp"
+
+namespace hatchwind::controller {
+
+using io::Micros;
+using io::steady_now;
+using io::Task;
+
+namespace {
+// Statuses of workers also come by way of peers, without an answer to this controller.
+constexpr Micros kRecheckInterval{50'000};
+}  // namespace
+
+bool StartFence::can_ask(const std::string& label) const {
+    const PeerStatus* peer = context_.peers.find(label);
+    if (peer == nullptr || !context_.peers.is_fresh(label, steady_now())) return false;
+    const PeerLink& link = context_.links.at(label);
+    const bool knows_request = (peer->heartbeat.capabilities & core::kHoldsStarts) != 0;
+    return link.connected && peer->received_at >= link.connected_at && knows_request;
+}
+
+Task<bool> StartFence::fence(std::string job, std::string team, Micros deadline) {
+    const auto& shard_owners = context_.replicated.epoch().shard_owners;
+    const auto owner = shard_owners.find(team);
+    if (owner == shard_owners.end()) co_return false;
+    const Micros until = std::min(deadline, steady_now() + kMaxWait);
+    const Micros began = steady_now();
+    const std::string label = owner->second;
+    auto fencing =
+        label == context_.leadership.label() ? fence_here(job, until) : fence_at_peer(label, job, until);
+    const bool fenced = co_await std::move(fencing);
+    spdlog::debug("event=starts_fenced job={} owner={} fenced={} took_us={}", job, label, fenced,
+                  (steady_now() - began).count());
+    co_return fenced;
+}
+
+bool StartFence::stop_fetching_tasks(const std::string& job, std::set<core::TaskRef>& stopped) {
+    const core::JobEntry* entry = context_.replicated.job_table().find(job);
+    // Without leadership no command goes out, and a new epoch fences anew.
+    if (entry == nullptr || !context_.leadership.holds_leadership()) return true;
+    bool none_left = true;
+    for (const auto& [number, chunk] : entry->chunks) {
+        for (const auto& [task, attempt] : chunk.open) {
+            const auto view = core::view_attempt(context_.workers.cluster_view(), job, task, attempt);
+            if (view.status != core::AttemptStatus::live || view.state != core::TaskState::fetching) continue;
+            none_left = false;
+            if (!stopped.insert({job, task}).second) continue;
+            context_.commands.enqueue(attempt.machine, attempt.incarnation,
+                                      {core::CommandKind::stop, job, task, attempt.number, 0});
+        }
+    }
+    return none_left;
+}
+
+Task<bool> StartFence::fence_here(std::string job, Micros deadline) {
+    std::set<core::TaskRef> stopped;
+    while (true) {
+        // Held anew: the wait is no part of the hold's time.
+        context_.holds.hold(job, steady_now());
+        const bool none_fetching = stop_fetching_tasks(job, stopped);
+        if (none_fetching && !context_.commands.start_in_flight(job)) co_return true;
+        if (steady_now() >= deadline) co_return false;
+        co_await context_.signals.commands_answered.wait(std::min(deadline, steady_now() + kRecheckInterval));
+    }
+}
+
+Task<bool> StartFence::fence_at_peer(std::string owner, std::string job, Micros deadline) {
+    if (!can_ask(owner)) co_return false;
+    const std::uint64_t number = ++last_request_;
+    const auto wait_us = static_cast<std::uint64_t>(std::max(Micros{0}, deadline - steady_now()).count());
+    const wire::StartHoldRequest request{number, std::move(job), wait_us};
+    if (!context_.links.push(context_.links.at(owner), request)) co_return false;
+    unacknowledged_.insert(number);
+    while (unacknowledged_.contains(number)) {
+        const bool notified = co_await acknowledged_.wait(deadline);
+        if (!notified && unacknowledged_.contains(number)) {
+            unacknowledged_.erase(number);
+            co_return false;
+        }
+    }
+    co_return true;
+}
+
+void StartFence::handle_request(const std::string& from, const wire::StartHoldRequest& request) {
+    context_.scope.spawn(serve(from, request));
+}
+
+Task<void> StartFence::serve(std::string from, wire::StartHoldRequest request) {
+    const Micros wait = std::min(
+        kMaxWait,
+        Micros{static_cast<std::int64_t>(std::min<std::uint64_t>(request.wait_us, kMaxWait.count()))});
+    auto fencing = fence_here(request.job, steady_now() + wait);
+    const bool fenced = co_await std::move(fencing);
+    if (fenced) context_.links.push(context_.links.at(from), wire::StartHoldAcknowledgement{request.number});
+}
+
+void StartFence::handle_acknowledgement(const wire::StartHoldAcknowledgement& acknowledgement) {
+    if (unacknowledged_.erase(acknowledgement.number) == 0) return;
+    acknowledged_.notify_all();
+}
+
+}  // namespace hatchwind::controller
--- a/tests/gang_at_team_limit_test.cpp
+++ b/tests/gang_at_team_limit_test.cpp
@@ -60,7 +60,7 @@
         cluster.cluster_view.apply(test::heartbeat("n-2", "big", "b"), cluster.now, cluster.now);
     }
 
-    core::PlacementResult place() {
+    core::PlacementResult place() const {
         core::FreeCapacity capacity = cluster.free_capacity();
         return core::place(test::placement_input(cluster), capacity);
     }
--- a/tests/peer_protocol_test.cpp
+++ b/tests/peer_protocol_test.cpp
@@ -70,10 +70,13 @@
         const wire::LeaseExtensionVote promise{9, true, draw_cancels()};
         const wire::CancellationBroadcast cancel{draw_cancels()};
         const wire::CapacityReservationNotice hold{"n-1", "req-1", 3, 2.0, 0, 4.4, 4'000'000};
-        const std::string bytes = wire::encode_frame(wire::PeerHandshake{1, "node"}) +
-                                  wire::encode_frame(heartbeat) + wire::encode_frame(ask) +
-                                  wire::encode_frame(promise) + wire::encode_frame(hold) +
-                                  wire::encode_frame(cancel);
+        const wire::StartHoldRequest start_hold{*rc::gen::arbitrary<std::uint64_t>(),
+                                                *rc::gen::arbitrary<std::string>(), 1'000'000};
+        const wire::StartHoldAcknowledgement acknowledgement{*rc::gen::arbitrary<std::uint64_t>()};
+        const std::string bytes =
+            wire::encode_frame(wire::PeerHandshake{1, "node"}) + wire::encode_frame(heartbeat) +
+            wire::encode_frame(ask) + wire::encode_frame(promise) + wire::encode_frame(hold) +
+            wire::encode_frame(cancel) + wire::encode_frame(start_hold) + wire::encode_frame(acknowledgement);
         const auto cut = *rc::gen::inRange<std::size_t>(0, bytes.size());
         wire::FrameReader r;
         std::vector<wire::PeerMessage> got;
@@ -82,12 +85,14 @@
             while (auto m = r.next()) got.push_back(std::move(*m));
         }
         RC_ASSERT(!r.broken());
-        RC_ASSERT(got.size() == 6U);
+        RC_ASSERT(got.size() == 8U);
         RC_ASSERT(std::get<wire::PeerHeartbeat>(got[1]) == heartbeat);
         RC_ASSERT(std::get<wire::LeaseExtensionRequest>(got[2]) == ask);
         RC_ASSERT(std::get<wire::LeaseExtensionVote>(got[3]) == promise);
         RC_ASSERT(std::get<wire::CapacityReservationNotice>(got[4]) == hold);
         RC_ASSERT(std::get<wire::CancellationBroadcast>(got[5]) == cancel);
+        RC_ASSERT(std::get<wire::StartHoldRequest>(got[6]) == start_hold);
+        RC_ASSERT(std::get<wire::StartHoldAcknowledgement>(got[7]) == acknowledgement);
     });
 }
 
--- a/tests/stand_ins.hpp
+++ b/tests/stand_ins.hpp
@@ -392,8 +392,9 @@
     std::uint64_t fencing_token() const { return fencing_token_; }
     std::size_t home() const { return at_ % nodes_.size(); }  // the controller that gets its heartbeats
     bool hung = false;
-    bool deaf = false;         // its heartbeats arrive, but neither answers nor commands reach it
-    bool hold_orders = false;  // requests are kept, and get no answer
+    bool deaf = false;            // its heartbeats arrive, but neither answers nor commands reach it
+    bool hold_orders = false;     // requests are kept, and get no answer
+    io::Micros order_latency{0};  // from the arrival of commands until they are carried out
     std::vector<Json> recorded_attempts;
     Json last_report;
     std::uint64_t incarnation() const { return session_; }
@@ -466,6 +467,7 @@
             while (hold_orders) co_await loop_.sleep(io::Micros{20'000});
             co_await loop_.sleep(io::Micros{3'000'000});  // beyond the caller's patience
         }
+        if (order_latency.count() > 0 && q.target == "/orders") co_await loop_.sleep(order_latency);
         if (q.target == "/status") co_return reply(200, describe());
         const auto b = wire::decode(q.body);
         if (!b || !b->contains("baton") || !b->contains("stint")) co_return reply(400);
--- a/tests/versions_test.cpp
+++ b/tests/versions_test.cpp
@@ -119,10 +119,14 @@
 
 TEST(MixedVersions, OnlyKindsOfFramesThatProductionKnowsAreSent) {
     // Production ends the connection at a hello of another version and at kinds above 8. A kind added here
-    // may go only to controllers that have announced that they know it.
+    // may go only to controllers that have announced that they know it: kinds 9 and 10 go to those that
+    // announce kHoldsStarts (StartFence.AsksNobodyThatDoesNotAnnounceTheRequest), which production does not.
     constexpr std::size_t kProductionKinds = 8;
     EXPECT_EQ(wire::kPeerProtocolVersion, 3U);
-    EXPECT_EQ(std::variant_size_v<PeerMessage>, kProductionKinds);
+    constexpr std::size_t kKindsForHoldsStarts = 2;
+    EXPECT_EQ(std::variant_size_v<PeerMessage>, kProductionKinds + kKindsForHoldsStarts);
+    EXPECT_EQ(static_cast<std::uint8_t>(wire::encode_frame(wire::StartHoldRequest{})[1]), 9);
+    EXPECT_EQ(static_cast<std::uint8_t>(wire::encode_frame(wire::StartHoldAcknowledgement{})[1]), 10);
     for (const auto& recorded : recorded_frames()) {
         const auto kind = static_cast<std::uint8_t>(wire::encode_frame(recorded.message)[1]);
         EXPECT_LE(kind, kProductionKinds);
@@ -210,6 +214,7 @@
     const auto capabilities = std::get<wire::PeerHeartbeat>(*message).capabilities;
     EXPECT_EQ(capabilities, core::kKnowsWaitingJobs);
     EXPECT_EQ(capabilities & core::kSharesWritesFairly, 0U);
+    EXPECT_EQ(capabilities & core::kHoldsStarts, 0U);
 }
 
 TEST(MixedVersions, TheNextEpochKeepsFieldsOfALaterVersion) {
