--- a/tests/io_test.cpp
+++ b/tests/io_test.cpp
@@ -14,6 +14,8 @@
 using io::Micros;
 using io::Task;
 
+constexpr int kCalls = 40;
+
 // Runs one routine to its end on a loop of its own.
 void run(io::Loop& loop, std::function<Task<void>()> body) {
     io::Scope scope;
@@ -140,12 +142,12 @@
             EXPECT_TRUE(socket.has_value());
             auto writing = socket->write(bad, io::steady_now() + Micros{1'000'000});
             co_await std::move(writing);
-            char buffer[512];
-            auto reading = socket->read(buffer, sizeof buffer, io::steady_now() + Micros{3'000'000});
+            std::array<char, 512> buffer{};
+            auto reading = socket->read(buffer.data(), buffer.size(), io::steady_now() + Micros{3'000'000});
             const auto n = co_await std::move(reading);
             EXPECT_TRUE(n.has_value());
             if (n) {
-                EXPECT_NE(std::string(buffer, *n).find("400"), std::string::npos);
+                EXPECT_NE(std::string(buffer.data(), *n).find("400"), std::string::npos);
             }
         }
     });
@@ -166,10 +168,11 @@
                 endless ? "GET / HTTP/1.1\r\nX: " + std::string(200'000, 'x') : "GET / HT";
             auto writing = socket->write(text, io::steady_now() + Micros{1'000'000});
             co_await std::move(writing);
-            char buffer[512];
+            std::array<char, 512> buffer{};
             base::Result<std::size_t, io::IoError> n = std::size_t{1};
             while (n && *n > 0) {
-                auto reading = socket->read(buffer, sizeof buffer, io::steady_now() + Micros{5'000'000});
+                auto reading =
+                    socket->read(buffer.data(), buffer.size(), io::steady_now() + Micros{5'000'000});
                 n = co_await std::move(reading);
             }
             co_await e.loop.sleep(Micros{50'000});
@@ -210,8 +213,9 @@
             const auto r = co_await std::move(task);
             count += r.has_status(200) ? 1 : 0;
         };
-        for (int i = 0; i < 40; ++i) calls.spawn(call(client, i % 2 == 0 ? a.address : other, answered));
-        while (answered < 40) {
+        for (int i = 0; i < kCalls; ++i) calls.spawn(call(client, i % 2 == 0 ? a.address : other, answered));
+        const std::function<bool()> all_answered = [&answered] { return answered >= kCalls; };
+        while (!all_answered()) {
             most = std::max(most, client.open_connections());
             co_await a.loop.sleep(Micros{1'000});
         }
@@ -347,8 +351,8 @@
         auto connecting = io::connect(loop, at, soon);
         auto socket = co_await std::move(connecting);
         EXPECT_TRUE(socket.has_value());
-        char buffer[16];
-        auto reading = socket->read(buffer, sizeof buffer, soon);
+        std::array<char, 16> buffer{};
+        auto reading = socket->read(buffer.data(), buffer.size(), soon);
         const auto received = co_await std::move(reading);
         EXPECT_FALSE(received.has_value());
         EXPECT_EQ(received ? io::IoError::failed : received.error(), io::IoError::timed_out);
--- a/tests/start_fence_test.cpp
+++ b/tests/start_fence_test.cpp
@@ -388,5 +388,29 @@
     }
 }
 
+// Known to fail, listed in KNOWN-RED.txt.
+//
+// What happens: a task of a cancelled job is started after its user was told, and stopped in the same
+// request.
+//
+// Why: a command with the start got no answer within 2.5 s, so a copy of it may still arrive. stop_unlisted
+// of CommandDispatcher then sends the same start once more with a stop behind it: the worker knows the
+// attempt as exited from then on, and the late copy runs nothing. Where the image is cached, the task is on
+// its machine for a moment. Where the first copy was lost, that start would never have come.
+//
+// What showed it: traces of one_way.toml, seeds 1 to 200: 12 starts after a confirmed cancel in 10 runs; 11
+// of them are accepted after the answer to the user, and stopped at the same microsecond. The other one was
+// accepted before.
+TEST(StartFence, NothingStartsAfterAConfirmedCancelWhenCommandsGetNoAnswer) {
+    for (const std::uint64_t seed : {14, 79, 99, 164, 190}) {
+        auto scenario = emulator::read_scenario(std::string{HATCHWIND_SCENARIOS} + "/one_way.toml");
+        scenario.seed = seed;
+        emulator::Play play(std::move(scenario), {});
+        play.run();
+        EXPECT_EQ(play.checker().counts().starts_after_cancellation, 0U) << "seed " << seed;
+        EXPECT_TRUE(play.checker().violations().empty()) << "seed " << seed << ": " << play.verdict();
+    }
+}
+
 }  // namespace
 }  // namespace hatchwind
