Preemption for gangs shares stops, grace, limit check and reservation with the rest

Cause: a second reading. core/overdue_gang_preemption wrote again what Preemption, PlacementTrial and capacity_reservation had; some checks could never fail; the sender copied each queue of commands before each request. Change: PlacementTrial::stop records the stop, fits_limit is public, and grace_to_save_s and reserve_for_overdue serve both. Gone: a test for open tasks (overdue jobs have none), a priority check that the comparison implies, a result that nobody read, a case for waiting jobs (their team has no shard owner). The sender erases forbidden starts in place.

--- a/src/api/user_api_cancel.cpp
+++ b/src/api/user_api_cancel.cpp
@@ -94,14 +94,11 @@
     const std::string id = entry.job.id;
     const core::Revision mod_revision = entry.mod_revision;
     const wire::Json record = wire::job_record(cancelled_copy(entry.job, context_.settings.value_limit()));
-    const bool may_have_tasks = !entry.job.waiting();
     const core::Revision epoch = context_.replicated.epoch().mod_revision;
-    bool fenced = false;
-    if (may_have_tasks) {
-        std::string team = entry.job.team;
-        auto fencing = context_.start_fence.fence(id, std::move(team), deadline - kCommitTime);
-        fenced = co_await std::move(fencing);
-    }
+    // A waiting job's team has no shard owner, so there is nobody to ask and nothing to wait for.
+    std::string team = entry.job.team;
+    auto fencing = context_.start_fence.fence(id, std::move(team), deadline - kCommitTime);
+    const bool fenced = co_await std::move(fencing);
     wire::Transaction transaction;
     transaction.conditions = {{keys::job(id), mod_revision}};
     // The next epoch's shard owner has not fenced the job.
--- a/src/core/capacity_reservation.cpp
+++ b/src/core/capacity_reservation.cpp
@@ -42,23 +42,27 @@
 
 }  // namespace
 
+void reserve_for_overdue(PlacementTrial& trial, const JobEntry& entry, std::uint32_t task,
+                         std::size_t machine) {
+    const Reservation reservation{trial.capacity().machines()[machine].id, entry.job.resources,
+                                  trial.input().now + kReservationTime, true};
+    trial.result().reservations[{entry.job.id, task}] = reservation;
+    trial.reserve(reservation);
+}
+
 void reserve_capacity(PlacementTrial& trial, const JobEntry& entry, std::uint32_t tasks) {
     const FreeCapacity& capacity = trial.capacity();
     std::vector<std::size_t> order = machines_by_free_cpus(capacity, entry.job);
     if (entry.job.one_zone) keep_emptiest_zone(capacity, order);
-    const Micros until = trial.input().now + kReservationTime;
     std::size_t next = 0;
     std::uint32_t task = 0;
     while (task < tasks && next < order.size()) {
-        const MachineCapacity& machine = capacity.machines()[order[next]];
         // What is reserved already, for an older job, may exceed the machine.
-        if (machine.free.cpus < 0) {
+        if (capacity.machines()[order[next]].free.cpus < 0) {
             ++next;
             continue;
         }
-        const Reservation reservation{machine.id, entry.job.resources, until, true};
-        trial.result().reservations[{entry.job.id, task}] = reservation;
-        trial.reserve(reservation);
+        reserve_for_overdue(trial, entry, task, order[next]);
         ++task;
     }
 }
--- a/src/core/overdue_gang_preemption.cpp
+++ b/src/core/overdue_gang_preemption.cpp
@@ -6,19 +6,13 @@
 #include <span>
 #include <utility>
 
+#include "core/capacity_reservation.hpp"
 #include "core/cluster_view.hpp"
 #include "core/pipeline_schedule.hpp"
+#include "core/preemption.hpp"
 
 namespace hatchwind::core {
 
-namespace {
-
-// Until the next passes have made the reservation anew.
-constexpr Micros kReservationTime{5'000'000};
-constexpr double kSaveMarginSeconds = 0.5;
-
-}  // namespace
-
 // The tasks of the youngest job have run for the shortest time, and it has the fewest that are done.
 bool OverdueGangPreemption::loses_less(const Victim& left, const Victim& right) {
     if (left.fetching != right.fetching) return left.fetching;
@@ -27,9 +21,9 @@
 
 bool OverdueGangPreemption::may_be_stopped(const Job& victim, const Job& gang) const {
     const PipelineSchedule* pipelines = trial_.input().pipelines;
-    const Priority priority = effective_priority(victim, pipelines);
-    return victim.team == gang.team && victim.kind != JobKind::gang && priority != Priority::production &&
-           priority < effective_priority(gang, pipelines);
+    // Nothing is above production, so what is stopped is below it.
+    return victim.team == gang.team && victim.kind != JobKind::gang &&
+           effective_priority(victim, pipelines) < effective_priority(gang, pipelines);
 }
 
 void OverdueGangPreemption::add_tasks_of(std::size_t machine, const JobEntry& gang, TeamTasks& tasks) const {
@@ -154,19 +148,14 @@
 };
 
 bool OverdueGangPreemption::meet_limit(const JobEntry& gang, const TeamTasks& tasks, Plan& plan) const {
-    const Team& team = trial_.input().teams->at(gang.job.team);
     Resources use = trial_.team_use(gang.job.team);
-    use += gang.job.resources * static_cast<double>(gang.job.tasks);
     use -= tasks.leaving_sum;
     std::set<TaskRef> chosen;
     for (const Victim& victim : plan.victims) {
         use -= victim.entry->job.resources;
         chosen.insert({victim.entry->job.id, victim.task});
     }
-    const auto fits = [&] {
-        return use.cpus <= team.cpus_max + kResourceTolerance &&
-               use.gpus <= team.gpus_max + kResourceTolerance;
-    };
+    const auto fits = [&] { return trial_.fits_limit(gang.job, use, gang.job.tasks); };
     std::vector<Victim> others;
     for (const auto& [machine, victims] : tasks.victims)
         others.insert(others.end(), victims.begin(), victims.end());
@@ -181,28 +170,17 @@
 }
 
 void OverdueGangPreemption::carry_out(const JobEntry& gang, const Plan& plan) {
-    PlacementResult& result = trial_.result();
-    const auto& machines = trial_.capacity().machines();
     for (const Victim& victim : plan.victims) {
         // What is left is stopped in the next passes.
-        if (result.stops.size() >= trial_.input().most_stops) break;
+        if (trial_.result().stops.size() >= trial_.input().most_stops) break;
         const Job& job = victim.entry->job;
-        const MachineCapacity& host = machines[victim.machine];
-        const double grace_s = job.checkpoint_s > 0 ? job.save_s + kSaveMarginSeconds : 0;
-        trial_.stop(job);
-        result.stops.push_back({job.id, victim.task, {victim.attempt, host.id, host.incarnation}, grace_s});
-    }
-    for (std::uint32_t task = 0; task < plan.machines.size(); ++task) {
-        const Reservation reservation{machines[plan.machines[task]].id, gang.job.resources,
-                                      trial_.input().now + kReservationTime, true};
-        result.reservations[{gang.job.id, task}] = reservation;
-        trial_.reserve(reservation);
+        trial_.stop(job, victim.task, victim.attempt, victim.machine, grace_to_save_s(job));
     }
+    for (std::uint32_t task = 0; task < plan.machines.size(); ++task)
+        reserve_for_overdue(trial_, gang, task, plan.machines[task]);
 }
 
-bool OverdueGangPreemption::make_room(const JobEntry& gang) {
-    // A gang that lost tasks holds its other machines already.
-    if (gang.open != 0) return false;
+void OverdueGangPreemption::make_room(const JobEntry& gang) {
     const TeamTasks tasks = tasks_below(gang);
     Plan cheapest;
     for (const std::string& zone : zones_for(gang.job)) {
@@ -211,9 +189,7 @@
         if (cheapest.machines.empty() || plan.victims.size() < cheapest.victims.size())
             cheapest = std::move(plan);
     }
-    if (cheapest.machines.empty()) return false;
     carry_out(gang, cheapest);
-    return true;
 }
 
 }  // namespace hatchwind::core
--- a/src/core/overdue_gang_preemption.hpp
+++ b/src/core/overdue_gang_preemption.hpp
@@ -20,9 +20,9 @@
   public:
     explicit OverdueGangPreemption(PlacementTrial& trial) : trial_(trial) {}
 
-    /// Stops what the gang needs and reserves the machines for it. False, and nothing is changed, when the
-    /// lower-priority tasks of its team are not enough.
-    bool make_room(const JobEntry& gang);
+    /// Stops what the gang needs and reserves the machines for it; changes nothing when the lower-priority
+    /// tasks of its team are not enough. None of the gang's tasks may be open.
+    void make_room(const JobEntry& gang);
 
   private:
     /// A task that may be stopped for the gang.
--- a/src/core/placement_trial.cpp
+++ b/src/core/placement_trial.cpp
@@ -51,9 +51,12 @@
     return fits_limit(job, use, more_tasks);
 }
 
-void PlacementTrial::stop(const Job& job) {
+void PlacementTrial::stop(const Job& job, std::uint32_t task, std::uint64_t attempt, std::size_t machine,
+                          double grace_s) {
+    const MachineCapacity& host = capacity_.machines()[machine];
     team_use_[job.team] -= job.resources;
     stopped_[job.team] += job.resources;
+    result_.stops.push_back({job.id, task, {attempt, host.id, host.incarnation}, grace_s});
 }
 
 bool PlacementTrial::fits_limit(const Job& job, const Resources& use, std::uint32_t more_tasks) const {
--- a/src/core/placement_trial.hpp
+++ b/src/core/placement_trial.hpp
@@ -34,8 +34,10 @@
     /// stops.
     const Resources& team_use(const std::string& team) const { return team_use_.at(team); }
     void charge_team(const std::string& team, const Resources& amount) { team_use_[team] += amount; }
-    /// A running task of that job is told to stop.
-    void stop(const Job& job);
+    /// The team's limit allows that many more tasks beside `use`.
+    bool fits_limit(const Job& job, const Resources& use, std::uint32_t more_tasks) const;
+    /// A running task of that job, on the machine at that position, is told to stop.
+    void stop(const Job& job, std::uint32_t task, std::uint64_t attempt, std::size_t machine, double grace_s);
 
     /// Free CPUs that this pass has not assigned yet, on spot and on on-demand machines.
     double free_spot_cpus() const { return free_spot_cpus_; }
@@ -69,7 +71,6 @@
         friend auto operator<=>(const StartedChunk&, const StartedChunk&) = default;
     };
 
-    bool fits_limit(const Job& job, const Resources& use, std::uint32_t more_tasks) const;
     void take_reserved(const Reservation& reservation, double sign);
     void reserve_known();
     void count_free_cpus();
--- a/src/core/preemption.cpp
+++ b/src/core/preemption.cpp
@@ -22,6 +22,10 @@
 }
 }  // namespace
 
+double grace_to_save_s(const Job& stopped) {
+    return stopped.checkpoint_s > 0 ? stopped.save_s + kSaveMarginSeconds : 0;
+}
+
 Preemption::Preemption(PlacementTrial& trial, FairShareRanking& ranking) : trial_(trial), ranking_(ranking) {
     for (const auto& objective : *trial.input().objectives) {
         if (objective.kind == "guarantee") preemption_delay_ = from_seconds(objective.within_s / 2);
@@ -151,17 +155,13 @@
 }
 
 double Preemption::stop_victims(const Plan& plan, const Job& job) {
-    const MachineCapacity& machine = trial_.capacity().machines()[plan.machine];
     double longest_grace_s = 0;
     for (Victim* victim : plan.victims) {
         const Job& stopped = victim->entry->job;
-        trial_.stop(stopped);
         victim->stopping = true;
         // A service's users wait now; anything else can wait until the victim has saved.
-        const bool saves = job.kind != JobKind::service && stopped.checkpoint_s > 0;
-        const double grace_s = saves ? stopped.save_s + kSaveMarginSeconds : 0;
-        trial_.result().stops.push_back(
-            {stopped.id, victim->task, {victim->attempt, machine.id, machine.incarnation}, grace_s});
+        const double grace_s = job.kind == JobKind::service ? 0 : grace_to_save_s(stopped);
+        trial_.stop(stopped, victim->task, victim->attempt, plan.machine, grace_s);
         longest_grace_s = std::max(longest_grace_s, grace_s);
     }
     return longest_grace_s;
--- a/src/core/preemption.hpp
+++ b/src/core/preemption.hpp
@@ -11,6 +11,9 @@
 
 namespace hatchwind::core {
 
+/// Seconds that a task of the job gets to write a checkpoint when it is stopped; 0 when it never saves.
+double grace_to_save_s(const Job& stopped);
+
 /// Preempts within one placement pass.
 class Preemption {
   public:
--- a/src/workers/command_sender.cpp
+++ b/src/workers/command_sender.cpp
@@ -110,17 +110,14 @@
 }
 
 void CommandSender::drop_forbidden_starts(CommandQueue& queue) {
-    std::vector<core::WorkerCommand> kept;
-    for (std::size_t i = 0; i < queue.commands.size(); ++i) {
-        if (is_forbidden(queue, i)) {
-            spdlog::debug("event=start_dropped job={} task={}", queue.commands[i].job,
-                          queue.commands[i].task);
-            resolve_start_copy(queue.commands[i], queue.epoch);
-        } else {
-            kept.push_back(queue.commands[i]);
-        }
+    // From the back, so that what is erased moves nothing that has yet to be looked at.
+    for (std::size_t i = queue.commands.size(); i-- > 0;) {
+        if (!is_forbidden(queue, i)) continue;
+        const core::WorkerCommand& start = queue.commands[i];
+        spdlog::debug("event=start_dropped job={} task={}", start.job, start.task);
+        resolve_start_copy(start, queue.epoch);
+        queue.commands.erase(queue.commands.begin() + static_cast<std::ptrdiff_t>(i));
     }
-    queue.commands = std::move(kept);
 }
 
 void CommandSender::count_in_flight(const std::vector<core::WorkerCommand>& commands) {
--- a/src/workers/start_fence.cpp
+++ b/src/workers/start_fence.cpp
@@ -80,10 +80,8 @@
     unacknowledged_.insert(number);
     while (unacknowledged_.contains(number)) {
         const bool notified = co_await acknowledged_.wait(deadline);
-        if (!notified && unacknowledged_.contains(number)) {
-            unacknowledged_.erase(number);
-            co_return false;
-        }
+        // Not there any more: acknowledged at the last moment.
+        if (!notified) co_return unacknowledged_.erase(number) == 0;
     }
     co_return true;
 }
@@ -93,10 +91,8 @@
 }
 
 Task<void> StartFence::serve(std::string from, wire::StartHoldRequest request) {
-    const Micros wait = std::min(
-        kMaxWait,
-        Micros{static_cast<std::int64_t>(std::min<std::uint64_t>(request.wait_us, kMaxWait.count()))});
-    auto fencing = fence_here(request.job, steady_now() + wait);
+    const auto wait_us = std::min<std::uint64_t>(request.wait_us, kMaxWait.count());
+    auto fencing = fence_here(request.job, steady_now() + Micros{static_cast<std::int64_t>(wait_us)});
     const bool fenced = co_await std::move(fencing);
     if (fenced) context_.links.push(context_.links.at(from), wire::StartHoldAcknowledgement{request.number});
 }
--- a/tests/emulator_test.cpp
+++ b/tests/emulator_test.cpp
@@ -5,9 +5,9 @@
 #include <algorithm>
 
 #include "emulator/deployment.hpp"
-#include "emulator/play.hpp"
 #include "io/http_client.hpp"
 #include "io/http_server.hpp"
+#include "scenario_run.hpp"
 #include "wire/cbor.hpp"
 
 namespace hatchwind {
@@ -221,13 +221,10 @@
 TEST(EmulatedRun, AnotherSeedGivesAnotherTrace) { EXPECT_NE(cluster_trace(7), cluster_trace(8)); }
 
 std::string scenario_trace(const std::string& name, std::uint64_t seed) {
-    auto scenario = emulator::read_scenario(std::string{HATCHWIND_SCENARIOS} + "/" + name + ".toml");
-    scenario.seed = seed;
     emulator::PlayOptions options;
     options.trace_packets = true;
-    emulator::Play play(std::move(scenario), options);
-    play.run();
-    return play.world().trace().text() + play.figures() + play.verdict();
+    const auto play = test::play_scenario(name, seed, options);
+    return play->world().trace().text() + play->figures() + play->verdict();
 }
 
 TEST(EmulatedScenario, SameSeedGivesTheSameTraceAndFiguresToTheByte) {
@@ -241,7 +238,7 @@
 }
 
 TEST(EmulatedScenario, QuietDayBreaksNoRuleAndServesEverybody) {
-    emulator::Play play(emulator::read_scenario(std::string{HATCHWIND_SCENARIOS} + "/quiet.toml"), {});
+    emulator::Play play(test::scenario("quiet"), {});
     play.run();
     EXPECT_TRUE(play.right()) << play.verdict();
     EXPECT_GT(play.checker().counts().starts, 10U);
--- a/tests/gang_at_team_limit_test.cpp
+++ b/tests/gang_at_team_limit_test.cpp
@@ -16,8 +16,7 @@
 #include <set>
 #include <string>
 
-#include "emulator/play.hpp"
-#include "emulator/toml_reader.hpp"
+#include "scenario_run.hpp"
 #include "support.hpp"
 
 namespace hatchwind {
@@ -46,17 +45,8 @@
         core::Job array = test::job("req-2", "x", kRunningTasks, 1);
         array.priority = array_priority;
         cluster.job_table.put_job(array, 1);
-        core::Chunk chunk;
-        chunk.mod_revision = 1;
-        chunk.last_attempt = 1;
-        auto busy = test::heartbeat("n-1", "big", "a");
-        for (std::uint32_t task = 0; task < kRunningTasks; ++task) {
-            chunk.open[task] = {1, "n-1", 1};
-            busy.tasks.push_back(test::task_status("req-2", task, 1));
-        }
-        cluster.job_table.put_chunk("req-2", 0, chunk);
         cluster.now += core::kBeginWithin * 2;
-        cluster.cluster_view.apply(busy, cluster.now, cluster.now);
+        record_running({}, 1);
         cluster.cluster_view.apply(test::heartbeat("n-2", "big", "b"), cluster.now, cluster.now);
     }
 
@@ -67,13 +57,21 @@
 
     // The tasks have exited, and their ends are recorded.
     void end(const std::vector<core::Stop>& stops) {
+        std::set<std::uint32_t> ended;
+        for (const auto& stop : stops) ended.insert(stop.task);
+        record_running(ended, 2);
+    }
+
+    Cluster cluster;
+
+  private:
+    // All tasks but those that ended run, as of that mod revision and heartbeat.
+    void record_running(const std::set<std::uint32_t>& ended, std::uint64_t version) {
         core::Chunk chunk;
-        chunk.mod_revision = 2;
+        chunk.mod_revision = version;
         chunk.last_attempt = 1;
         auto busy = test::heartbeat("n-1", "big", "a");
-        busy.heartbeat_sequence = 2;
-        std::set<std::uint32_t> ended;
-        for (const auto& stop : stops) ended.insert(stop.task);
+        busy.heartbeat_sequence = version;
         for (std::uint32_t task = 0; task < kRunningTasks; ++task) {
             if (ended.contains(task)) continue;
             chunk.open[task] = {1, "n-1", 1};
@@ -82,8 +80,6 @@
         cluster.job_table.put_chunk("req-2", 0, chunk);
         cluster.cluster_view.apply(busy, cluster.now, cluster.now);
     }
-
-    Cluster cluster;
 };
 
 // The gang needs 4 of 8 CPUs, of which 6 are used: two tasks have to go, and then it starts.
@@ -157,12 +153,9 @@
 }
 
 TEST(GangAtTheTeamsLimit, LeavesNoJobWaitingAfterARefusalAndAnOutage) {
-    auto scenario = emulator::read_scenario(std::string{HATCHWIND_SCENARIOS} + "/gap.toml");
-    scenario.seed = kSeed;
-    emulator::Play play(std::move(scenario), {});
-    play.run();
-    EXPECT_EQ(play.checker().counts().waiting, std::vector<std::string>{});
-    EXPECT_TRUE(play.checker().violations().empty()) << play.verdict();
+    const auto play = test::play_scenario("gap", kSeed);
+    EXPECT_EQ(play->checker().counts().waiting, std::vector<std::string>{});
+    EXPECT_TRUE(play->checker().violations().empty()) << play->verdict();
 }
 
 }  // namespace
--- a/tests/start_fence_test.cpp
+++ b/tests/start_fence_test.cpp
@@ -19,8 +19,7 @@
 #include <variant>
 
 #include "cluster/peer_directory.hpp"
-#include "emulator/play.hpp"
-#include "emulator/toml_reader.hpp"
+#include "scenario_run.hpp"
 #include "site.hpp"
 #include "support.hpp"
 
@@ -380,11 +379,8 @@
 // Runs that once showed starts of tasks whose image came between the answer and the stop.
 TEST(StartFence, NothingStartsAfterAConfirmedCancelInAGap) {
     for (const std::uint64_t seed : {21, 24, 72, 85}) {
-        auto scenario = emulator::read_scenario(std::string{HATCHWIND_SCENARIOS} + "/gap.toml");
-        scenario.seed = seed;
-        emulator::Play play(std::move(scenario), {});
-        play.run();
-        EXPECT_TRUE(play.right()) << "seed " << seed << ": " << play.verdict();
+        const auto play = test::play_scenario("gap", seed);
+        EXPECT_TRUE(play->right()) << "seed " << seed << ": " << play->verdict();
     }
 }
 
@@ -403,12 +399,9 @@
 // accepted before.
 TEST(StartFence, NothingStartsAfterAConfirmedCancelWhenCommandsGetNoAnswer) {
     for (const std::uint64_t seed : {14, 79, 99, 164, 190}) {
-        auto scenario = emulator::read_scenario(std::string{HATCHWIND_SCENARIOS} + "/one_way.toml");
-        scenario.seed = seed;
-        emulator::Play play(std::move(scenario), {});
-        play.run();
-        EXPECT_EQ(play.checker().counts().starts_after_cancellation, 0U) << "seed " << seed;
-        EXPECT_TRUE(play.checker().violations().empty()) << "seed " << seed << ": " << play.verdict();
+        const auto play = test::play_scenario("one_way", seed);
+        EXPECT_EQ(play->checker().counts().starts_after_cancellation, 0U) << "seed " << seed;
+        EXPECT_TRUE(play->checker().violations().empty()) << "seed " << seed << ": " << play->verdict();
     }
 }
 
