Review case 2: record how another user fares meanwhile

Change: a second user asks for his job every two seconds; the answers are recorded, not judged. The temporary folder is the system's.

--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -5,6 +5,17 @@
 
 using namespace review;
 
+// Another user asks for the ordinary job all the while; the answers are recorded, not judged.
+Task<void> ask_again(Deployment& d, int& asked, int& answered) {
+    while (true) {
+        auto polling = d.users.poll("req-000100");
+        const Users::Answer answer = co_await std::move(polling);
+        ++asked;
+        if (answer.status == 200) ++answered;
+        co_await d.loop.sleep(seconds(2));
+    }
+}
+
 Task<bool> play(Deployment& d, bool trouble) {
     auto starting = d.wait_until_up();
     const bool up = co_await std::move(starting);
@@ -17,8 +28,14 @@
     if (accepted.status != 201) co_return false;
     if (trouble) {
         d.record.add("TROUBLE a user submits 40,000 underscores");
+        int asked = 0;
+        int answered = 0;
+        Scope other_user;
+        other_user.spawn(ask_again(d, asked, answered));
         auto malformed = d.users.submit("40,000 underscores", std::string(40'000, '_'));
         const Users::Answer answer = co_await std::move(malformed);
+        d.record.add("another user meanwhile: " + std::to_string(answered) + " of " + std::to_string(asked) +
+                     " questions answered");
         if (answer.status != 400)
             d.record.broken("the malformed submission was never answered with 400, in 60 s of tries");
         else
--- a/review/stand_ins/stand_ins.hpp
+++ b/review/stand_ins/stand_ins.hpp
@@ -699,9 +699,8 @@
     Platform(Loop& loop, Record& record, const Site& site, std::vector<std::string> command, Store& store,
              Address cloud, std::size_t nodes)
         : loop_(loop), record_(record), site_(site), command_(std::move(command)) {
-        char folder[] = "/tmp/hatchwind-review-XXXXXX";
-        if (::mkdtemp(folder) == nullptr) throw std::runtime_error("no temporary folder");
-        folder_ = folder;
+        folder_ = (std::filesystem::temp_directory_path() / "hatchwind-review-XXXXXX").string();
+        if (::mkdtemp(folder_.data()) == nullptr) throw std::runtime_error("no temporary folder");
         for (std::size_t i = 0; i < nodes; ++i) {
             labels.push_back("perch-" + std::to_string(i));
             api.push_back(next_address());
