CBOR: a body of strings inside one another is refused before it is decoded

Cause: the library's reader calls itself for each string of indefinite length inside another, and reports strings at their end only, so that the bound on lists and maps in wire::decode did not see them. Under gdb: 29,079 frames of get_cbor_binary on a stack of 8 MiB.

Change: wire/cbor_validator checks the form of each body in one pass without recursion before the library's decoder gets it: nested strings are refused, lists and maps bounded at depth 16 as before, lengths bounded by the bytes that are there. The bound in the decoder's callbacks is gone.

Ruled out: depth of lists and maps, allocation by announced lengths, the body limit, an exception (docs/incidents/nested-strings.md).

--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -2,43 +2,12 @@
 
 #include <cmath>
 
+#include "wire/cbor_validator.hpp"
+
 namespace hatchwind::wire {
 
 namespace {
 
-// Refuses deep nesting while parsing: the library's CBOR reader recurses, and 64 KiB of list heads would
-// exhaust the stack.
-class BoundedSax : public nlohmann::detail::json_sax_dom_parser<Json> {
-    using Base = nlohmann::detail::json_sax_dom_parser<Json>;
-
-  public:
-    explicit BoundedSax(Json& into) : Base(into, false) {}
-    bool start_object(std::size_t length) {
-        return ++depth_ <= kMostDepth && acceptable(length) && Base::start_object(length);
-    }
-    bool start_array(std::size_t length) {
-        return ++depth_ <= kMostDepth && acceptable(length) && Base::start_array(length);
-    }
-    bool end_object() {
-        --depth_;
-        return Base::end_object();
-    }
-    bool end_array() {
-        --depth_;
-        return Base::end_array();
-    }
-    bool binary(Json::binary_t& /*unused*/) { return false; }
-
-  private:
-    static constexpr int kMostDepth = 16;
-    static constexpr std::size_t kUnknownLength = static_cast<std::size_t>(-1);
-    static constexpr std::size_t kLengthLimit = 1U << 24U;  // more items than any body that is read can hold
-
-    static bool acceptable(std::size_t length) { return length == kUnknownLength || length < kLengthLimit; }
-
-    int depth_ = 0;
-};
-
 const Json* field(const Json& map, const char* key) {
     if (!map.is_object()) return nullptr;
     const auto it = map.find(key);
@@ -48,10 +17,12 @@
 }  // namespace
 
 std::optional<Json> decode(std::string_view body) {
+    if (!is_valid_cbor(body)) return std::nullopt;
     Json value;
-    BoundedSax sax{value};
-    if (!Json::sax_parse(body.begin(), body.end(), &sax, Json::input_format_t::cbor, true))
-        return std::nullopt;
+    // from_cbor would copy the value once more.
+    constexpr bool kThrows = false;
+    nlohmann::detail::json_sax_dom_parser<Json> builder{value, kThrows};
+    if (!Json::sax_parse(body.begin(), body.end(), &builder, Json::input_format_t::cbor)) return std::nullopt;
     return value;
 }
 
--- a/src/wire/cbor.hpp
+++ b/src/wire/cbor.hpp
@@ -15,8 +15,8 @@
 /// A decoded message, or one to be encoded.
 using Json = nlohmann::json;
 
-/// The value that the body holds. Nothing for input that is malformed, nested too deeply or holds binary
-/// strings, and for bytes after the value.
+/// The value that the body holds. Nothing for a body that is no valid message: see `is_valid_cbor`, which
+/// bounds its depth. Takes time and memory in proportion to the body's size.
 std::optional<Json> decode(std::string_view body);
 /// The CBOR form of a value.
 std::string encode(const Json& value);
--- a/tests/fake_services.hpp
+++ b/tests/fake_services.hpp
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "io/http_client.hpp"
@@ -48,6 +49,14 @@
     return response;
 }
 
+/// A response with status 200 and these bytes as its body.
+inline io::HttpResponse raw_reply(const std::string& body) {
+    io::HttpResponse response;
+    response.status = 200;
+    response.body = body;
+    return response;
+}
+
 /// Returns the value of a query parameter of a request target; empty if there is none.
 inline std::string query(const std::string& target, const std::string& key) {
     const auto position = target.find(key + "=");
@@ -158,6 +167,7 @@
     std::vector<std::string>
         oversized_transactions;  // descriptions of the transactions refused for their size
     std::size_t conflicts = 0;
+    std::optional<std::string> malformed_response;  // the body of each response, and nothing is executed
 
     /// Executes a late or duplicated transaction; returns the status of its response.
     int deliver_late_commit(const Json& transaction) { return commit(transaction).status; }
@@ -197,6 +207,7 @@
         changed_.notify_all();
     }
     io::Task<io::HttpResponse> handle(io::HttpRequest request) {
+        if (malformed_response) co_return raw_reply(*malformed_response);
         if (request.target.starts_with("/watch")) {
             auto watching = watch(request.target);
             auto response = co_await std::move(watching);
@@ -403,7 +414,8 @@
     bool suspended = false;      // sends no heartbeats, answers no requests and completes no tasks
     bool unreachable = false;    // heartbeats are delivered, but neither responses nor commands are received
     bool hold_commands = false;  // command requests are kept in `held_requests` and not answered
-    io::Micros command_latency{0};  // from the arrival of commands until their execution
+    io::Micros command_latency{0};                  // from the arrival of commands until their execution
+    std::optional<std::string> malformed_response;  // the body of each response, and nothing is executed
     std::vector<Json> held_requests;
     Json last_heartbeat;
     std::uint64_t incarnation() const { return incarnation_; }
@@ -478,6 +490,7 @@
     }
     io::Task<io::HttpResponse> handle(io::HttpRequest request) {
         while (suspended || unreachable) co_await loop_.sleep(io::Micros{20'000});
+        if (malformed_response) co_return raw_reply(*malformed_response);
         if (hold_commands && request.target == "/orders") {
             held_requests.push_back(*wire::decode(request.body));
             while (hold_commands) co_await loop_.sleep(io::Micros{20'000});
@@ -575,12 +588,14 @@
     }
     const io::Address address;
     std::map<std::string, std::unique_ptr<FakeWorker>> workers;
-    double cores = 4.0;  // CPU cores of the machine type in the catalog
+    double cores = 4.0;                             // CPU cores of the machine type in the catalog
+    std::optional<std::string> malformed_response;  // the body of each response, and nothing is executed
 
   private:
     static constexpr std::size_t kMaxInstances = 8;
 
     io::Task<io::HttpResponse> handle(io::HttpRequest request) {
+        if (malformed_response) co_return raw_reply(*malformed_response);
         const auto body = wire::decode(request.body);
         if (request.target == "/catalog") co_return catalog();
         if (request.target == "/rentals" && request.method == "POST") co_return start_instance(*body);
--- /dev/null
+++ b/tests/malformed_messages_test.cpp
@@ -0,0 +1,73 @@
+// Whole controllers that are sent bodies which are no messages: by users, workers, the state service and the
+// cloud. None of them ends, the sender gets the answer that the protocol names, and others are served.
+#include "support.hpp"
+#include "test_deployment.hpp"
+
+namespace hatchwind {
+namespace {
+
+using io::Micros;
+using io::Task;
+using test::TestDeployment;
+using wire::Json;
+
+// What a user typed: 40,000 underscores. As CBOR, byte strings of indefinite length inside one another.
+std::string nested_strings() { return std::string(40'000, '_'); }
+
+Task<int> send_body(TestDeployment& site, std::size_t node, std::string target, std::string body) {
+    auto sending = site.client.send(site.api_address(node), "POST", std::move(target), std::move(body),
+                                    io::steady_now() + Micros{5'000'000});
+    const auto response = co_await std::move(sending);
+    co_return response.status_or(0);
+}
+
+// One submission ended each controller that read it, and the user's repeats all of them
+// (docs/incidents/nested-strings.md).
+TEST(MalformedMessages, NestedStringsOfUsersAndWorkersGet400AndOthersAreServed) {
+    TestDeployment site{2};
+    site.play([](TestDeployment& s) -> Task<void> {
+        {
+            auto step = s.submit("req-1", "x", "sweep", 3);
+            co_await std::move(step);
+        }
+        for (const std::size_t node : {0U, 1U}) {
+            for (const char* target : {"/api/jobs", "/hello"}) {
+                auto sending = send_body(s, node, target, nested_strings());
+                const int status = co_await std::move(sending);
+                EXPECT_EQ(status, 400) << target;
+            }
+        }
+        auto finishing = s.until_status("req-1", "done");
+        co_await std::move(finishing);
+    });
+}
+
+TEST(MalformedMessages, AnswersOfStateServiceCloudAndWorkersCountAsFailedRequests) {
+    TestDeployment site{2};
+    site.workload.run_time = Micros{1'500'000};
+    site.play([](TestDeployment& s) -> Task<void> {
+        {
+            auto step = s.submit("req-1", "x", "sweep", 3);
+            co_await std::move(step);
+        }
+        const std::function<bool()> started = [&] { return !s.workload.running.empty(); };
+        auto starting = s.until(started);
+        co_await std::move(starting);
+        s.state.malformed_response = nested_strings();
+        s.cloud.malformed_response = nested_strings();
+        for (auto& [id, worker] : s.cloud.workers) worker->malformed_response = nested_strings();
+        co_await s.loop.sleep(Micros{1'000'000});
+        s.state.malformed_response.reset();
+        s.cloud.malformed_response.reset();
+        for (auto& [id, worker] : s.cloud.workers) worker->malformed_response.reset();
+        auto finishing = s.until_status("req-1", "done");
+        co_await std::move(finishing);
+        {
+            auto step = s.run_until_done("req-2", "y", "sweep", 2);
+            co_await std::move(step);
+        }
+    });
+}
+
+}  // namespace
+}  // namespace hatchwind
--- a/tests/test_deployment.hpp
+++ b/tests/test_deployment.hpp
@@ -94,6 +94,7 @@
     const std::vector<std::string>& labels() const { return labels_; }
     bool up(std::size_t node) const { return controllers_[node] != nullptr; }
     io::Address mesh_address(std::size_t node) const { return peer_mesh_[node]; }
+    io::Address api_address(std::size_t node) const { return addresses_[node]; }
 
     Task<std::pair<int, Json>> call(std::size_t node, std::string method, std::string target, Json body) {
         auto sending =
