Settings: values nested too deeply are an error with a message

Operators saw: a settings file with a list of some 100,000 lists in one another, where text belongs, ended the process with signal 11 in place of a message.

Cause: the file is read without recursion, but the text that shows a wrong value in the message is made recursively.

Change: the depth of the file is bounded at 64 while it is read.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -15,12 +15,30 @@
 
 // What stands for "no limit" in the ranges of numbers.
 constexpr double kUnlimited = 1e9;
+constexpr int kMaxNestingDepth = 64;  // of lists and objects; the file itself needs 5
 constexpr double kBytesPerKibibyte = 1024;
 constexpr double kSurelyHeldPart = 0.9;
 constexpr std::size_t kMostTransactionWrites = 100'000;
 // The end of a job takes two writes in one transaction.
 constexpr std::size_t kLeastAnnouncedTransactionWrites = 2;
 
+// Reading is not recursive, but what shows a value in an error message is: the depth is bounded here for all.
+nlohmann::json parse_json(std::string_view text) {
+    bool too_deep = false;
+    const auto keep = [&](int depth, nlohmann::json::parse_event_t /*event*/, nlohmann::json& /*value*/) {
+        too_deep = too_deep || depth > kMaxNestingDepth;
+        return !too_deep;
+    };
+    constexpr bool kThrows = false;
+    nlohmann::json document = nlohmann::json::parse(text, keep, kThrows);
+    if (too_deep) {
+        throw SettingsError("file", "values nested too deeply",
+                            "at most " + std::to_string(kMaxNestingDepth) + " lists and objects");
+    }
+    if (document.is_discarded()) throw SettingsError("file", "text that is not JSON", "a JSON object");
+    return document;
+}
+
 Peer parse_peer(const SettingsValue& member) {
     return {.label = member.at("label").text(),
             .zone = member.at("location").text(),
@@ -140,8 +158,7 @@
 }
 
 Settings parse_settings(std::string_view text) {
-    const nlohmann::json document = nlohmann::json::parse(text, nullptr, false);
-    if (document.is_discarded()) throw SettingsError("file", "text that is not JSON", "a JSON object");
+    const nlohmann::json document = parse_json(text);
     const SettingsValue root{document};
     Settings settings;
     // In this order: of several errors the operator sees the first.
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -170,6 +170,22 @@
     EXPECT_EQ(failure(v), "endpoints.state: found nothing, allowed is required");
 }
 
+// A list in a list, and so on, where text belongs: the message that should have named the key exhausted the
+// stack (docs/incidents/nested-strings.md, "Related paths").
+TEST(Settings, ValuesDeepInsideOneAnotherAreAnError) {
+    constexpr std::size_t kDepth = 1'000'000;
+    const std::string nested = std::string(kDepth, '[') + std::string(kDepth, ']');
+    for (const std::string& text : {nested, R"({"label":)" + nested + "}", std::string(kDepth, '[')}) {
+        try {
+            (void)controller::parse_settings(text);
+            ADD_FAILURE() << "accepted";
+        } catch (const SettingsError& error) {
+            EXPECT_EQ(error.key(), "file");
+            EXPECT_EQ(error.found(), "values nested too deeply");
+        }
+    }
+}
+
 // Several mistakes: the first in the order of the file's sections.
 TEST(Settings, OfSeveralMistakesTheFirstIsNamed) {
     json v = settings();
