Requests: an exception of a handler ends its request alone, with 500

Cause: an exception that leaves a connection's coroutine ends the program. That is right for long-lived duties, and wrong for one sender's request.

Result: RequestFailure.AnExceptionEndsItsRequestAloneWith500 ended the test program (terminate) before the change and passes now.

--- a/src/api/http_router.cpp
+++ b/src/api/http_router.cpp
@@ -3,6 +3,7 @@
 #include <string_view>
 #include <utility>
 
+#include "api/request_failure.hpp"
 #include "io/http_responses.hpp"
 
 namespace hatchwind::controller {
@@ -42,7 +43,7 @@
     co_return response;
 }
 
-Task<HttpResponse> HttpRouter::handle(HttpRequest request) {
+Task<HttpResponse> HttpRouter::route(HttpRequest request) {
     const std::string path = request.target.substr(0, request.target.find('?'));
     if (path == kHeartbeatPath) co_return handle_heartbeat(request);
     if (path == kHealthPath) {
@@ -61,4 +62,8 @@
     co_return response;
 }
 
+Task<HttpResponse> HttpRouter::handle(HttpRequest request) {
+    return respond_to_failure(route(std::move(request)));
+}
+
 }  // namespace hatchwind::controller
--- a/src/api/http_router.hpp
+++ b/src/api/http_router.hpp
@@ -16,10 +16,12 @@
     HttpRouter(HeartbeatHandler& heartbeats, UserApi& user_api)
         : heartbeats_(heartbeats), user_api_(user_api) {}
 
-    /// 404 for a path that no handler serves, 405 for a method that its path does not allow.
+    /// 404 for a path that no handler serves, 405 for a method that its path does not allow, 500 after an
+    /// exception of a handler.
     io::Task<io::HttpResponse> handle(io::HttpRequest request);
 
   private:
+    io::Task<io::HttpResponse> route(io::HttpRequest request);
     io::HttpResponse handle_heartbeat(const io::HttpRequest& request);
     /// `/api/jobs/ID` and `/api/jobs/ID/cancel`.
     io::Task<io::HttpResponse> handle_job(std::string method, std::string id);
--- a/src/io/http_status.hpp
+++ b/src/io/http_status.hpp
@@ -13,6 +13,7 @@
 inline constexpr int kMisdirectedRequest = 421;
 inline constexpr int kUnprocessableContent = 422;
 inline constexpr int kTooManyRequests = 429;
+inline constexpr int kInternalServerError = 500;
 inline constexpr int kServiceUnavailable = 503;
 
 }  // namespace hatchwind::io::http_status
--- a/tests/malformed_messages_test.cpp
+++ b/tests/malformed_messages_test.cpp
@@ -1,5 +1,8 @@
 // Whole controllers that are sent bodies which are no messages: by users, workers, the state service and the
 // cloud. None of them ends, the sender gets the answer that the protocol names, and others are served.
+#include <stdexcept>
+
+#include "api/request_failure.hpp"
 #include "support.hpp"
 #include "test_deployment.hpp"
 
@@ -69,5 +72,38 @@
     });
 }
 
+Task<io::HttpResponse> serve_nothing() { co_return io::HttpResponse{}; }
+
+Task<void> expect_statuses(io::Loop& loop, io::Address address, std::map<std::string, int> statuses) {
+    io::HttpClient client{loop};
+    for (const auto& [target, status] : statuses) {
+        auto sending = client.send(address, "GET", target, "", io::steady_now() + Micros{5'000'000});
+        const auto response = co_await std::move(sending);
+        EXPECT_EQ(response.status_or(0), status) << target;
+    }
+    loop.stop();
+}
+
+Task<io::HttpResponse> fail(bool at_once, io::Loop& loop) {
+    if (!at_once) co_await loop.sleep(Micros{1000});
+    throw std::runtime_error("a defect");
+    co_return io::HttpResponse{};
+}
+
+// An exception in the handling of one request ended the process, and with repeats every controller
+// (review/3).
+TEST(RequestFailure, AnExceptionEndsItsRequestAloneWith500) {
+    io::Loop loop;
+    const io::Address address = test::loopback_address(test::free_port());
+    io::HttpServer server{loop, address, {}, [&](const io::HttpRequest& request) {
+                              if (request.target == "/served") return serve_nothing();
+                              return controller::respond_to_failure(fail(request.target == "/at_once", loop));
+                          }};
+    io::Scope scope;
+    scope.spawn(server.serve());
+    scope.spawn(expect_statuses(loop, address, {{"/at_once", 500}, {"/later", 500}, {"/served", 200}}));
+    loop.run();
+}
+
 }  // namespace
 }  // namespace hatchwind
