Text: only UTF-8 is read, and the size of a record can't throw

Cause: no reader checked that CBOR text is UTF-8. The JSON form, made to count a record's length and to keep unknown fields, throws for other bytes, and the exception left a coroutine.

Change: the validator refuses text that is not UTF-8 wherever it stands. What comes from the store is read without that check, so that records of earlier versions go on. Lengths are counted with replacement; unknown fields are kept as CBOR, without loss. The tests' store takes any text as before.

--- a/src/api/user_api_submit.cpp
+++ b/src/api/user_api_submit.cpp
@@ -32,8 +32,7 @@
 std::optional<wire::Json> submission_body(const io::HttpRequest& request) {
     auto body = wire::decode(request.body);
     if (!body || request.body.size() <= kMaxJsonBytes / kMaxJsonPerCbor) return body;
-    const std::string text = body->dump(-1, ' ', false, wire::Json::error_handler_t::replace);
-    return text.size() > kMaxJsonBytes ? std::nullopt : std::move(body);
+    return wire::json_bytes(*body) > kMaxJsonBytes ? std::nullopt : std::move(body);
 }
 
 HttpResponse unprocessable(const std::string& reason) {
--- a/src/core/job.hpp
+++ b/src/core/job.hpp
@@ -59,7 +59,7 @@
     bool cancelled = false;
     Micros cancelled_at{};  ///< wall clock
 
-    /// Fields of the record that this version does not know, as JSON text; empty if there are none. They are
+    /// Fields of the record that this version does not know, in CBOR; empty if there are none. They are
     /// written back unchanged when this version rewrites the record.
     std::string unknown_fields;
 
--- a/src/store/store_client.cpp
+++ b/src/store/store_client.cpp
@@ -128,7 +128,7 @@
 }
 
 std::optional<wire::Json> StoreClient::decode(const io::HttpResponse& response, const char* call) {
-    auto body = wire::decode(response.body);
+    auto body = wire::decode_stored(response.body);
     if (!body) {
         ++malformed_responses_;
         spdlog::warn("event=malformed_response from=state call={} count={}", call, malformed_responses_);
--- a/src/wire/cbor.cpp
+++ b/src/wire/cbor.cpp
@@ -14,10 +14,8 @@
     return it == map.end() || it->is_null() ? nullptr : &*it;
 }
 
-}  // namespace
-
-std::optional<Json> decode(std::string_view body) {
-    if (!is_valid_cbor(body)) return std::nullopt;
+std::optional<Json> decode_with(std::string_view body, TextEncoding encoding) {
+    if (!is_valid_cbor(body, encoding)) return std::nullopt;
     Json value;
     // from_cbor would copy the value once more.
     constexpr bool kThrows = false;
@@ -26,13 +24,23 @@
     return value;
 }
 
+}  // namespace
+
+std::optional<Json> decode(std::string_view body) { return decode_with(body, TextEncoding::utf8); }
+
+std::optional<Json> decode_stored(std::string_view body) { return decode_with(body, TextEncoding::any); }
+
 std::string encode(const Json& value) {
     std::string body;
     Json::to_cbor(value, body);
     return body;
 }
 
-std::size_t json_bytes(const Json& value) { return value.dump().size(); }
+std::size_t json_bytes(const Json& value) {
+    constexpr int kOnOneLine = -1;
+    constexpr bool kOnlyAscii = false;
+    return value.dump(kOnOneLine, ' ', kOnlyAscii, Json::error_handler_t::replace).size();
+}
 
 std::optional<std::string> text(const Json& map, const char* key) {
     const Json* value = field(map, key);
--- a/src/wire/cbor.hpp
+++ b/src/wire/cbor.hpp
@@ -18,9 +18,13 @@
 /// The value that the body holds. Nothing for a body that is no valid message: see `is_valid_cbor`, which
 /// bounds its depth. Takes time and memory in proportion to the body's size.
 std::optional<Json> decode(std::string_view body);
+/// The same for what comes from the store. Its texts may be in any encoding: earlier versions have accepted
+/// jobs with such texts, which are still cancelled and finished.
+std::optional<Json> decode_stored(std::string_view body);
 /// The CBOR form of a value.
 std::string encode(const Json& value);
-/// The length of the value's JSON form, by which the store limits values and transactions.
+/// The length in bytes of the value's JSON form, by which bodies, values and transactions are limited. Bytes
+/// that are no UTF-8 have no such form, and count as the replacement character, which is longer.
 std::size_t json_bytes(const Json& value);
 
 /// A text; nothing when the field is missing, null or of another type. So for the other readers of fields.
--- a/src/wire/cbor_validator.cpp
+++ b/src/wire/cbor_validator.cpp
@@ -1,7 +1,9 @@
 #include "wire/cbor_validator.hpp"
 
 #include <array>
+#include <boost/locale/utf.hpp>
 #include <cstdint>
+#include <cstring>
 #include <optional>
 
 namespace hatchwind::wire {
@@ -50,9 +52,34 @@
     bool expects_value = false;         // in a map: the key was read
 };
 
+bool is_ascii(std::string_view text) {
+    constexpr std::uint64_t kHighBits = 0x8080'8080'8080'8080;
+    std::uint64_t word = 0;
+    while (text.size() >= sizeof(word)) {
+        std::memcpy(&word, text.data(), sizeof(word));
+        if ((word & kHighBits) != 0) return false;
+        text.remove_prefix(sizeof(word));
+    }
+    word = 0;
+    std::memcpy(&word, text.data(), text.size());
+    return (word & kHighBits) == 0;
+}
+
+bool is_utf8(std::string_view text) {
+    namespace utf = boost::locale::utf;
+    if (is_ascii(text)) return true;
+    const char* next = text.data();
+    const char* const end = next + text.size();
+    while (next != end) {
+        const utf::code_point decoded = utf::utf_traits<char>::decode(next, end);
+        if (decoded == utf::illegal || decoded == utf::incomplete) return false;
+    }
+    return true;
+}
+
 class Validator {
   public:
-    explicit Validator(std::string_view body) : body_(body) {}
+    Validator(std::string_view body, TextEncoding encoding) : body_(body), encoding_(encoding) {}
 
     bool run() {
         if (!read_item()) return false;
@@ -69,12 +96,6 @@
   private:
     std::size_t remaining_bytes() const { return body_.size() - position_; }
 
-    bool skip(std::uint64_t bytes) {
-        if (bytes > remaining_bytes()) return false;
-        position_ += bytes;
-        return true;
-    }
-
     bool take_break() {
         if (remaining_bytes() == 0 || static_cast<std::uint8_t>(body_[position_]) != kBreak) return false;
         ++position_;
@@ -150,7 +171,10 @@
 
     bool read_text_of_definite_length(std::uint8_t info) {
         const auto length = read_argument(info);
-        return length && skip(*length);
+        if (!length || *length > remaining_bytes()) return false;
+        const std::string_view text = body_.substr(position_, *length);
+        position_ += text.size();
+        return encoding_ == TextEncoding::any || is_utf8(text);
     }
 
     bool begin_container(Head head) {
@@ -177,6 +201,7 @@
     }
 
     std::string_view body_;
+    TextEncoding encoding_;
     std::size_t position_ = 0;
     std::array<Container, kMaxNestingDepth> open_containers_;
     std::size_t depth_ = 0;
@@ -184,6 +209,6 @@
 
 }  // namespace
 
-bool is_valid_cbor(std::string_view body) { return Validator{body}.run(); }
+bool is_valid_cbor(std::string_view body, TextEncoding encoding) { return Validator{body, encoding}.run(); }
 
 }  // namespace hatchwind::wire
--- a/src/wire/cbor_validator.hpp
+++ b/src/wire/cbor_validator.hpp
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string_view>
 
 namespace hatchwind::wire {
@@ -12,11 +13,17 @@
 /// The most lists and maps inside one another in a message.
 inline constexpr std::size_t kMaxNestingDepth = 16;
 
+/// What the bytes of texts have to be.
+enum class TextEncoding : std::uint8_t {
+    utf8,  ///< as RFC 8949 asks for
+    any,   ///< for records that earlier versions have stored without checking their texts
+};
+
 /// True when the bytes are one well-formed data item of the kinds that the protocols use: maps with text
 /// keys, lists, text, numbers, booleans and null (RFC 8949, section 3 and appendix C). Byte strings, tags
 /// and other simple values are refused, and so are strings whose chunks are of indefinite length themselves.
 ///
-/// Reads each byte at most once, without recursion and without allocating.
-bool is_valid_cbor(std::string_view body);
+/// Reads each byte at most twice, without recursion and without allocating.
+bool is_valid_cbor(std::string_view body, TextEncoding encoding = TextEncoding::utf8);
 
 }  // namespace hatchwind::wire
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -54,21 +54,21 @@
 
 core::Micros from_micros(std::uint64_t micros) { return core::Micros{static_cast<std::int64_t>(micros)}; }
 
-// The fields that are not among those known, as JSON text; empty without any.
+// The fields that are not among those known, in CBOR; empty without any.
 template <std::size_t size>
 std::string unknown_fields(const std::array<std::string_view, size>& known, const Json& record) {
     Json unknown = Json::object();
     for (const auto& [name, value] : record.items()) {
         if (!std::binary_search(known.begin(), known.end(), std::string_view(name))) unknown[name] = value;
     }
-    return unknown.empty() ? std::string{} : unknown.dump();
+    return unknown.empty() ? std::string{} : encode(unknown);
 }
 
 void add_unknown_fields(Json& record, const std::string& fields) {
     if (fields.empty()) return;
-    const Json unknown = Json::parse(fields, nullptr, false);
-    if (!unknown.is_object()) return;
-    for (const auto& [name, value] : unknown.items()) record.emplace(name, value);
+    const std::optional<Json> unknown = decode_stored(fields);
+    if (!unknown || !unknown->is_object()) return;
+    for (const auto& [name, value] : unknown->items()) record.emplace(name, value);
 }
 
 std::uint64_t job_flags(const core::Job& job) {
--- a/tests/cbor_test.cpp
+++ b/tests/cbor_test.cpp
@@ -2,6 +2,8 @@
 #include "wire/cbor.hpp"
 
 #include <array>
+#include <boost/locale/utf.hpp>
+#include <iterator>
 #include <string>
 #include <utility>
 #include <vector>
@@ -94,6 +96,45 @@
     for (const auto& body : refused) EXPECT_FALSE(wire::decode(body).has_value()) << Json(body.size());
 }
 
+// What is no text in UTF-8: Latin-1, a lone continuation, an overlong form, a surrogate, beyond U+10FFFF,
+// cut.
+const std::vector<std::string> kNotUtf8 = {
+    "\xe9t\xe9", "\x80", "\xc0\x80", "\xed\xa0\x80", "\xf4\x90\x80\x80", "a long text \xe2\x82"};
+
+// Bytes that are no text were taken for one, stored, and ended the controllers that made JSON of them
+// (docs/incidents/text-not-utf8.md).
+TEST(CborForm, TextIsUtf8WhereverItStands) {
+    for (const auto& bytes : kNotUtf8) {
+        for (const Json& value : {Json(bytes), Json{bytes}, Json{{"a", bytes}}, Json{{bytes, 1}},
+                                  Json{{"a", {{"b", {1, bytes}}}}}}) {
+            const std::string body = wire::encode(value);
+            EXPECT_FALSE(wire::decode(body).has_value());
+            const auto stored = wire::decode_stored(body);
+            ASSERT_TRUE(stored.has_value()) << "written by an earlier version";
+            EXPECT_EQ(*stored, value);
+            EXPECT_GE(wire::json_bytes(*stored), bytes.size());
+        }
+    }
+    // One character in two chunks: each chunk has to be a text (RFC 8949, 3.2.3).
+    EXPECT_FALSE(wire::decode("\x7f\x61\xc3\x61\xa9\xff").has_value());
+    for (const std::string text :
+         {"carte-\xc3\xa9t\xc3\xa9", "\xe2\x82\xac", "\xf4\x8f\xbf\xbf", "\xef\xbf\xbe"})
+        EXPECT_EQ(wire::decode(wire::encode(Json(text))), Json(text));
+}
+
+TEST(CborForm, EachCodePointIsReadWhereverItBegins) {
+    test::check_property("a character behind some others", [] {
+        const std::string before(*rc::gen::inRange<std::size_t>(0, 20), 'x');
+        const auto code_point = *rc::gen::inRange<std::uint32_t>(0x80, 0x110000);
+        constexpr std::uint32_t kFirstSurrogate = 0xd800;
+        constexpr std::uint32_t kLastSurrogate = 0xdfff;
+        const bool surrogate = code_point >= kFirstSurrogate && code_point <= kLastSurrogate;
+        std::string text = before;
+        boost::locale::utf::utf_traits<char>::encode(code_point, std::back_inserter(text));
+        RC_ASSERT(wire::decode(wire::encode(Json(text))).has_value() == !surrogate);
+    });
+}
+
 Json generated_value(int depth) {
     const int kind = *rc::gen::inRange(0, depth > 0 ? 8 : 6);
     if (kind == 0) return nullptr;
--- a/tests/fake_services.hpp
+++ b/tests/fake_services.hpp
@@ -225,7 +225,7 @@
             co_return read(request.target.substr(std::string_view{"/store/"}.size()));
         }
         if (request.target == "/commit") {
-            auto handling = handle_transaction(*wire::decode(request.body));
+            auto handling = handle_transaction(*wire::decode_stored(request.body));
             auto response = co_await std::move(handling);
             co_return response;
         }
@@ -311,7 +311,7 @@
             return std::to_string(conditions.size()) + " conditions";
         for (const auto& write : requested_writes) {
             if (!write.contains("write")) continue;
-            const std::size_t bytes = write["v"].dump().size();
+            const std::size_t bytes = wire::json_bytes(write["v"]);
             if (bytes > value_bytes_limit)
                 return std::to_string(bytes) + " bytes: " + write["write"].get<std::string>();
         }
--- a/tests/malformed_messages_test.cpp
+++ b/tests/malformed_messages_test.cpp
@@ -45,6 +45,78 @@
     });
 }
 
+// A job with such a text got 201. Its cancellation had no answer and ended each controller that got it, as
+// did a submission that waits for others (docs/incidents/text-not-utf8.md).
+TEST(MalformedMessages, TextThatIsNotUtf8Gets400WhereverItStands) {
+    TestDeployment site{1};
+    site.play([](TestDeployment& s) -> Task<void> {
+        {
+            auto step = s.submit("req-1", "x", "sweep", 1);
+            co_await std::move(step);
+        }
+        const std::string not_utf8 = "carte-\xe9t\xe9";
+        Json good = TestDeployment::submission("req-2", "x", "sweep", 1);
+        good["builds"] = {"c4"};
+        good["roost"] = "a";
+        good["awaits"] = {"req-1"};
+        std::vector<Json> bodies;
+        for (const char* field :
+             {"id", "flock", "crew", "form", "rank", "plate", "roost", "unknown", "legs"}) {
+            bodies.push_back(good);
+            bodies.back()[field] = not_utf8;
+        }
+        for (const char* field : {"builds", "awaits", "unknown"}) {
+            bodies.push_back(good);
+            bodies.back()[field] = {not_utf8};
+        }
+        bodies.push_back(good);
+        bodies.back()[not_utf8] = 1;
+        for (const Json& body : bodies) {
+            auto sending = send_body(s, 0, "/api/jobs", wire::encode(body));
+            const int status = co_await std::move(sending);
+            EXPECT_EQ(status, 400) << body.begin().key();
+        }
+        auto finishing = s.until_status("req-1", "done");
+        co_await std::move(finishing);
+        Json heartbeat = s.cloud.workers.begin()->second->last_heartbeat;
+        heartbeat["roost"] = not_utf8;
+        auto reporting = send_body(s, 0, "/hello", wire::encode(heartbeat));
+        const int status = co_await std::move(reporting);
+        EXPECT_EQ(status, 400);
+    });
+}
+
+// The record of a job that an earlier version has accepted, also with a field of a later one.
+TEST(MalformedMessages, AStoredJobWithTextThatIsNotUtf8IsReadCancelledAndFinished) {
+    TestDeployment site{1};
+    site.workload.endless_jobs = {"req-1"};
+    site.play([](TestDeployment& s) -> Task<void> {
+        {
+            auto step = s.run("req-1", "x", "service", 2);
+            co_await std::move(step);
+        }
+        const std::string key = "h/job/req-1";
+        Json record = s.state.items.at(key).value;
+        record["image"] = "carte-\xe9t\xe9";
+        record["of_a_later_version"] = "\xe9";
+        s.state.deliver_late_commit({{"when", Json::array()}, {"writes", {{{"write", key}, {"v", record}}}}});
+        // As read from a page, and not from a watch.
+        s.kill(0);
+        s.start(0);
+        auto cancel = s.retry_until("POST", "/api/jobs/req-1/cancel", nullptr, {200});
+        const Json answer = co_await std::move(cancel);
+        EXPECT_EQ(answer["status"], "cancelled");
+        if (const auto item = s.state.items.find(key); item != s.state.items.end()) {
+            EXPECT_EQ(item->second.value["image"], record["image"]);
+            EXPECT_EQ(item->second.value["of_a_later_version"], record["of_a_later_version"]);
+        }
+        const std::function<bool()> finished = [&] { return s.state.items.contains("f/req-1"); };
+        auto finishing = s.until(finished);
+        co_await std::move(finishing);
+        EXPECT_TRUE(s.workload.running.empty());
+    });
+}
+
 TEST(MalformedMessages, AnswersOfStateServiceCloudAndWorkersCountAsFailedRequests) {
     TestDeployment site{2};
     site.workload.run_time = Micros{1'500'000};
--- a/tests/versions_test.cpp
+++ b/tests/versions_test.cpp
@@ -220,7 +220,7 @@
 
 TEST(MixedVersions, TheNextEpochKeepsFieldsOfALaterVersion) {
     core::EpochInput input;
-    input.current.unknown_fields = R"({"later":1})";
+    input.current.unknown_fields = wire::encode({{"later", 1}});
     input.self = {"n1", 7};
     input.member_records["n1"] = {7, 3, core::kCapabilities};
     input.teams = {{"print-room", 1, 1, 0, 0}};
