Replica: an announced cancellation hides no record of the job

A controller that the state service had refused took over the team and started its next job beside a cancelled task on a hanging machine.

Cause: a cancellation told by a peer raised the entry's mod revision while it still held the record from before the job's release. The records between were dropped as old, and the next owner deleted the job as one that never started, with a condition that held.

Change: a mod revision stands only for a record that was read whole. The announced revision is kept beside it; the job counts as cancelled at once, and nobody deletes or finishes it until its record has been read.

Ruled out: the order of the watch, and the condition itself (docs/incidents/announced-cancellation.md).

--- a/src/api/user_api_cancel.cpp
+++ b/src/api/user_api_cancel.cpp
@@ -47,8 +47,8 @@
 HttpResponse UserApi::confirm_cancel(const std::string& id) const {
     const core::JobEntry* entry = context_.replicated.job_table().find(id);
     if (entry != nullptr && entry->job.cancelled) {
-        context_.links.broadcast(
-            wire::CancellationBroadcast{{{id, entry->mod_revision, entry->job.cancelled_at.count()}}});
+        context_.links.broadcast(wire::CancellationBroadcast{
+            {{id, entry->cancellation_revision(), entry->job.cancelled_at.count()}}});
     }
     return cbor_response(http_status::kOk, wire::job_answer(id, wire::JobStatus::cancelled));
 }
--- a/src/core/job_table.cpp
+++ b/src/core/job_table.cpp
@@ -84,6 +84,12 @@
     // A page with attempts of a released job may be read before the record of the release. Its usage then has
     // to move from kWaitingTeam to the job's team (JobTable.LateReleaseRecordMovesUsageToTheTeam).
     if (!is_new) move_usage_to_team(entry, job.team);
+    if (entry.announced_cancellation > mod_revision) {
+        job.cancelled = true;
+        job.cancelled_at = entry.job.cancelled_at;
+    } else {
+        entry.announced_cancellation = 0;
+    }
     entry.job = std::move(job);
     entry.mod_revision = mod_revision;
     set_dependencies_if_complete(entry.job);
@@ -99,10 +105,14 @@
 
 void JobTable::put_cancel(const std::string& job, Revision revision, Micros cancelled_at) {
     const auto it = jobs_.find(job);
-    if (it == jobs_.end() || it->second.mod_revision >= revision) return;
-    it->second.job.cancelled = true;
-    it->second.job.cancelled_at = cancelled_at;
-    it->second.mod_revision = revision;
+    if (it == jobs_.end()) return;
+    JobEntry& entry = it->second;
+    if (std::max(entry.mod_revision, entry.announced_cancellation) >= revision) return;
+    entry.job.cancelled = true;
+    entry.job.cancelled_at = cancelled_at;
+    // A mod revision stands for a record that was read whole. Raised here, it would hide the records between,
+    // such as that of the job's release (JobTable.AnAnnouncedCancellationHidesNoRecord).
+    entry.announced_cancellation = revision;
 }
 
 void JobTable::put_chunk(const std::string& job, std::uint32_t index, Chunk chunk) {
--- a/src/core/job_table.hpp
+++ b/src/core/job_table.hpp
@@ -67,13 +67,23 @@
 /// A job with the state of its tasks.
 struct JobEntry {
     Job job;
-    Revision mod_revision = 0;              ///< of the job's own record
+    Revision mod_revision = 0;  ///< of the job's own record, as it was read
+    /// Mod revision of the record of a cancellation that a peer has announced, until that record or a later
+    /// one is read; 0: none. `job.cancelled` is set meanwhile, and everything else is as of `mod_revision`.
+    Revision announced_cancellation = 0;
     std::map<std::uint32_t, Chunk> chunks;  ///< by number; absent: no attempt was recorded
     std::uint32_t done = 0;                 ///< number of tasks that are done
     std::uint32_t open = 0;                 ///< number of tasks with an open attempt
 
     std::uint32_t unstarted() const { return job.tasks - done - open; }
     bool finished() const { return done == job.tasks; }
+    /// Returns true while the store has a newer record of this job, so that no condition on the known one can
+    /// hold.
+    bool record_is_outdated() const { return announced_cancellation != 0; }
+    /// Returns the revision at which a cancelled job is known to be cancelled.
+    Revision cancellation_revision() const {
+        return record_is_outdated() ? announced_cancellation : mod_revision;
+    }
     /// Returns the highest attempt number of all tasks, or 0 if there was no attempt.
     std::uint64_t last_attempt() const;
 };
@@ -109,7 +119,8 @@
 
     void put_job(Job job, Revision mod_revision);
     /// Applies a cancellation that another controller announced before the store's watch delivered it. Has no
-    /// effect if the job is unknown, or known at `revision` or a later one. `cancelled_at`: wall clock.
+    /// effect if the job is unknown, or known at `revision` or a later one. Records from before `revision`
+    /// are still applied when they arrive. `cancelled_at`: wall clock.
     void put_cancel(const std::string& job, Revision revision, Micros cancelled_at);
     /// Applies a chunk. A chunk of an unknown job is kept as an orphan until the job's record arrives.
     void put_chunk(const std::string& job, std::uint32_t index, Chunk chunk);
--- a/src/scheduling/attempt_reconciler.cpp
+++ b/src/scheduling/attempt_reconciler.cpp
@@ -154,7 +154,7 @@
 
 void AttemptReconciler::find_finished_jobs(StagedRecords& staged) const {
     for (const auto& [id, entry] : replicated_.job_table().jobs()) {
-        if (!leadership_.owns_shard(entry.job.team)) continue;
+        if (!leadership_.owns_shard(entry.job.team) || entry.record_is_outdated()) continue;
         std::uint32_t done = entry.done;
         std::uint32_t open = entry.open;
         auto record = staged.chunks.lower_bound({id, 0});
--- a/src/scheduling/dependency_reconciler.cpp
+++ b/src/scheduling/dependency_reconciler.cpp
@@ -166,7 +166,11 @@
     std::vector<Resolution> releases;
     for (const auto& id : plan.release) releases.push_back(release(*replicated_.job_table().find(id)));
     std::vector<Resolution> cancellations;
-    for (const auto& id : plan.cancel) cancellations.push_back(cancel(*replicated_.job_table().find(id)));
+    for (const auto& id : plan.cancel) {
+        const core::JobEntry& entry = *replicated_.job_table().find(id);
+        // The job may have been released and started in the meantime.
+        if (!entry.record_is_outdated()) cancellations.push_back(cancel(entry));
+    }
     CommitsOutcome outcome = CommitsOutcome::all_committed;
     if (!releases.empty()) {
         const std::size_t max_groups = releases.size();
--- a/src/store/replicated_state.cpp
+++ b/src/store/replicated_state.cpp
@@ -160,8 +160,8 @@
 std::vector<wire::CancellationNotice> ReplicatedState::cancellations_after(core::Revision revision) const {
     std::vector<wire::CancellationNotice> cancellations;
     for (const auto& [id, entry] : job_table_.jobs()) {
-        if (!entry.job.cancelled || entry.mod_revision <= revision) continue;
-        cancellations.push_back({id, entry.mod_revision, entry.job.cancelled_at.count()});
+        if (!entry.job.cancelled || entry.cancellation_revision() <= revision) continue;
+        cancellations.push_back({id, entry.cancellation_revision(), entry.job.cancelled_at.count()});
     }
     return cancellations;
 }
@@ -173,7 +173,8 @@
         // make an ended job reappear.
         if (notice.revision <= revision_) continue;
         const core::JobEntry* entry = job_table_.find(notice.job);
-        if (entry == nullptr || entry->mod_revision >= notice.revision) continue;
+        if (entry == nullptr) continue;
+        if (std::max(entry->mod_revision, entry->announced_cancellation) >= notice.revision) continue;
         spdlog::debug("event=cancellation_received job={} revision={}", notice.job, notice.revision);
         job_table_.put_cancel(notice.job, notice.revision, Micros{notice.cancelled_us});
         any_new = true;
--- a/tests/job_table_test.cpp
+++ b/tests/job_table_test.cpp
@@ -47,6 +47,83 @@
     EXPECT_DOUBLE_EQ(job_table.team_use("x").cpus, 0);
 }
 
+// A peer announced the cancellation of a released job to a replica that still had it as waiting. The entry
+// was marked as being at the cancellation's revision, so the record of the release was dropped: the team's
+// next owner deleted the job although an attempt was open (docs/incidents/announced-cancellation.md).
+TEST(JobTable, AnAnnouncedCancellationHidesNoRecord) {
+    core::JobTable job_table;
+    core::Job waiting = test::job("req-1", core::kWaitingTeam, 4, 2);
+    waiting.dependencies = {"req-0"};
+    waiting.team_once_released = "x";
+    job_table.put_job(waiting, 1);
+    const core::Micros cancelled_at{77};
+    job_table.put_cancel("req-1", 4, cancelled_at);
+    const core::JobEntry& entry = *job_table.find("req-1");
+    EXPECT_TRUE(entry.job.cancelled);
+    EXPECT_EQ(entry.mod_revision, 1U) << "the record that was read";
+    EXPECT_TRUE(entry.record_is_outdated());
+    EXPECT_EQ(entry.cancellation_revision(), 4U);
+    core::Job released = waiting;
+    released.team = "x";
+    released.dependencies.clear();
+    job_table.put_job(released, 2);
+    EXPECT_EQ(entry.job.team, "x");
+    EXPECT_TRUE(entry.job.cancelled) << "as announced";
+    EXPECT_EQ(entry.job.cancelled_at, cancelled_at);
+    EXPECT_TRUE(entry.record_is_outdated());
+    EXPECT_TRUE(job_table.waiting().empty());
+    core::Chunk chunk;
+    chunk.mod_revision = 3;
+    chunk.open[0] = {1, "n-1", 1};
+    job_table.put_chunk("req-1", 0, chunk);
+    EXPECT_DOUBLE_EQ(job_table.team_use("x").cpus, 2);
+    core::Job cancelled = released;
+    cancelled.cancelled = true;
+    cancelled.cancelled_at = cancelled_at;
+    job_table.put_job(cancelled, 4);
+    EXPECT_FALSE(entry.record_is_outdated());
+    EXPECT_EQ(entry.mod_revision, 4U);
+    EXPECT_EQ(entry.cancellation_revision(), 4U);
+    job_table.put_cancel("req-1", 4, cancelled_at);
+    EXPECT_FALSE(entry.record_is_outdated()) << "a repeat of what was read";
+}
+
+// Announcements among the records, in any order: the replica ends with the store's record, and the job counts
+// as cancelled from the announcement on.
+TEST(JobTable, AnnouncementsInAnyOrderEndWithTheStoresRecord) {
+    check_property("records and announcements in any order", [] {
+        constexpr core::Revision kCancelledAt = 3;
+        core::JobTable job_table;
+        core::Job job = test::job("req-1", core::kWaitingTeam, 4, 2);
+        job.team_once_released = "x";
+        job_table.put_job(job, 1);
+        const auto apply_record = [&](core::Revision revision) {
+            core::Job record = job;
+            if (revision >= 2) record.team = "x";
+            record.cancelled = revision >= kCancelledAt;
+            job_table.put_job(record, revision);
+        };
+        bool announced = false;
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4));
+        for (const int step : steps) {
+            if (step == 0) {
+                job_table.put_cancel("req-1", kCancelledAt, core::Micros{5});
+                announced = true;
+            } else {
+                apply_record(static_cast<core::Revision>(step));
+            }
+            const core::JobEntry& entry = *job_table.find("req-1");
+            RC_ASSERT(!announced || entry.job.cancelled);
+            RC_ASSERT((entry.job.team == "x") == (entry.mod_revision >= 2));
+            RC_ASSERT(entry.record_is_outdated() == (announced && entry.mod_revision < kCancelledAt));
+        }
+        for (const core::Revision revision : {2, 3}) apply_record(revision);
+        const core::JobEntry& entry = *job_table.find("req-1");
+        RC_ASSERT(entry.mod_revision == kCancelledAt && entry.job.team == "x" && entry.job.cancelled);
+        RC_ASSERT(!entry.record_is_outdated());
+    });
+}
+
 // The parts of a long dependency list and the job's record may arrive in any order. Guards against a partial
 // list that counts as known.
 TEST(JobTable, DependencyListIsKnownOnceAllItsPartsAre) {
