--- a/src/core/time.hpp
+++ b/src/core/time.hpp
@@ -4,6 +4,7 @@
 /// unless documented otherwise.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 
@@ -15,10 +16,15 @@
 /// For calculations with rates, which use `double`.
 inline constexpr double kMicrosPerSecond = 1e6;
 
+/// The longest duration, and the latest time, that is taken from a message or record: some 31,000 years. Sums
+/// of a few of them do not overflow.
+inline constexpr Micros kMaxMicros{1'000'000'000'000'000'000};
+
 /// Converts seconds, the unit in settings and wire messages, to microseconds. Truncates fractions of a
-/// microsecond.
+/// microsecond, and is limited to kMaxMicros in both directions.
 constexpr Micros from_seconds(double seconds) {
-    return Micros{static_cast<std::int64_t>(seconds * kMicrosPerSecond)};
+    constexpr auto kLimit = static_cast<double>(kMaxMicros.count());
+    return Micros{static_cast<std::int64_t>(std::clamp(seconds * kMicrosPerSecond, -kLimit, kLimit))};
 }
 
 /// Converts a duration to seconds.
--- a/src/wire/peer_protocol.cpp
+++ b/src/wire/peer_protocol.cpp
@@ -89,6 +89,18 @@
         const auto value = varint();
         return static_cast<std::int64_t>(value >> 1U) ^ -static_cast<std::int64_t>(value & 1U);
     }
+    // A time in microseconds, of which sums can be made.
+    std::int64_t time_us() {
+        const auto value = signed_varint();
+        if (value > core::kMaxMicros.count() || value < -core::kMaxMicros.count()) ok_ = false;
+        return ok_ ? value : 0;
+    }
+    // A duration in microseconds that is not negative.
+    std::uint64_t duration_us() {
+        const auto value = varint();
+        if (value > static_cast<std::uint64_t>(core::kMaxMicros.count())) ok_ = false;
+        return ok_ ? value : 0;
+    }
     bool flag() {
         const auto value = varint();
         if (value > 1) ok_ = false;
@@ -258,14 +270,14 @@
     PeerHeartbeat message;
     message.label = reader.text();
     message.store_lease = reader.varint();
-    message.wall_us = reader.signed_varint();
+    message.wall_us = reader.time_us();
     message.epoch = reader.varint();
     message.state_ok = reader.flag();
     message.healthy = reader.flag();
     message.holds_leadership = reader.flag();
     for (auto left = reader.count(); left > 0 && reader.ok(); --left) {
         auto machine = reader.text();
-        const auto age = reader.signed_varint();
+        const auto age = reader.time_us();
         message.answered.emplace_back(std::move(machine), message.wall_us - age);
     }
     message.released = reader.texts();
@@ -292,7 +304,7 @@
     heartbeat.heartbeat_sequence = reader.varint();
     heartbeat.fencing_token = reader.varint();
     if (reader.flag()) heartbeat.notice_s = reader.number();
-    message.heard_us = reader.signed_varint();
+    message.heard_us = reader.time_us();
     for (auto left = reader.count(); left > 0 && reader.ok(); --left) {
         core::TaskStatus task;
         task.job = reader.text();
@@ -325,7 +337,7 @@
 LeaseExtensionRequest read_lease_extension_request(Reader& reader) {
     LeaseExtensionRequest message;
     message.number = reader.varint();
-    message.life_us = reader.varint();
+    message.life_us = reader.duration_us();
     message.revision = reader.optional_varint();
     return message;
 }
@@ -346,7 +358,7 @@
     message.cpus = reader.number();
     message.gpus = reader.number();
     message.memory_gb = reader.number();
-    message.for_us = reader.varint();
+    message.for_us = reader.duration_us();
     message.waiting = reader.flag();
     return message;
 }
@@ -358,7 +370,7 @@
     message.heartbeat_sequence = reader.varint();
     message.fencing_token = reader.varint();
     message.content_sequence = reader.varint();
-    message.heard_us = reader.signed_varint();
+    message.heard_us = reader.time_us();
     return message;
 }
 
@@ -366,7 +378,7 @@
     StartHoldRequest message;
     message.number = reader.varint();
     message.job = reader.text();
-    message.wait_us = reader.varint();
+    message.wait_us = reader.duration_us();
     return message;
 }
 
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -52,7 +52,11 @@
 constexpr auto kMostKind = static_cast<std::uint64_t>(core::JobKind::service);
 constexpr auto kMostPriority = static_cast<std::uint64_t>(core::Priority::production);
 
-core::Micros from_micros(std::uint64_t micros) { return core::Micros{static_cast<std::int64_t>(micros)}; }
+// Limited to core::kMaxMicros: beyond it, the time would be written back as a negative number.
+core::Micros from_micros(std::uint64_t micros) {
+    constexpr auto kLimit = static_cast<std::uint64_t>(core::kMaxMicros.count());
+    return core::Micros{static_cast<std::int64_t>(std::min(micros, kLimit))};
+}
 
 // The fields that are not among those known, in CBOR; empty without any.
 template <std::size_t size>
