Test: a notice of a cancellation does not raise the record's revision

Cause: CancellationNotices.AreAppliedOnceAndNeverToANewerReplica asked for the mod revision of the notice on an entry whose record is older.

Change: it asks for the notice's revision where it now stands, for the mod revision of the record that was read, and that a repeat of the notice changes nothing. Every other check is as it was.

--- a/tests/outage_cancel_test.cpp
+++ b/tests/outage_cancel_test.cpp
@@ -92,10 +92,12 @@
         << "the replica is newer than the notice";
     EXPECT_TRUE(replicated.apply_cancellations({{"req-1", 13, 5}, {"req-2", 14, 5}}));
     EXPECT_TRUE(replicated.job_table().find("req-1")->job.cancelled);
-    EXPECT_EQ(replicated.job_table().find("req-1")->mod_revision, 13U);
+    EXPECT_EQ(replicated.job_table().find("req-1")->cancellation_revision(), 13U);
+    EXPECT_EQ(replicated.job_table().find("req-1")->mod_revision, 10U) << "the record that was read";
     EXPECT_EQ(replicated.job_table().find("req-2"), nullptr);
     EXPECT_EQ(replicated.cancellations_after(12), (std::vector<wire::CancellationNotice>{{"req-1", 13, 5}}));
     EXPECT_TRUE(replicated.cancellations_after(13).empty());
+    EXPECT_FALSE(replicated.apply_cancellations({{"req-1", 13, 5}})) << "applied already";
 }
 
 // Parameters of a run with an outage after a cancellation.
