Comments: each new guard names its failure and the test that shows it

Change: comments only. The bound on nesting stays in one place, the validator; both ways into the decoder pass it.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -22,7 +22,8 @@
 // The end of a job takes two writes in one transaction.
 constexpr std::size_t kLeastAnnouncedTransactionWrites = 2;
 
-// Reading is not recursive, but what shows a value in an error message is: the depth is bounded here for all.
+// Reading is not recursive, but what shows a value in an error message is: the depth is bounded here for all
+// (Settings.ValuesDeepInsideOneAnotherAreAnError).
 nlohmann::json parse_json(std::string_view text) {
     bool too_deep = false;
     const auto keep = [&](int depth, nlohmann::json::parse_event_t /*event*/, nlohmann::json& /*value*/) {
--- a/src/wire/cbor.hpp
+++ b/src/wire/cbor.hpp
@@ -19,7 +19,8 @@
 /// bounds its depth. Takes time and memory in proportion to the body's size.
 std::optional<Json> decode(std::string_view body);
 /// The same for what comes from the store. Its texts may be in any encoding: earlier versions have accepted
-/// jobs with such texts, which are still cancelled and finished.
+/// jobs with such texts, which are still cancelled and finished
+/// (MalformedMessages.AStoredJobWithTextThatIsNotUtf8IsReadCancelledAndFinished).
 std::optional<Json> decode_stored(std::string_view body);
 /// The CBOR form of a value.
 std::string encode(const Json& value);
--- a/src/wire/cbor_validator.hpp
+++ b/src/wire/cbor_validator.hpp
@@ -2,6 +2,9 @@
 ///
 /// The decoder recurses for lists, maps and strings of indefinite length inside one another, and reports
 /// strings only at their end. So its depth can't be bounded from outside: what it is given has to be bounded.
+/// Without the check 40,000 bytes exhaust the stack, and one request ends every controller that reads it
+/// (CborForm.StringsInsideOneAnotherAreRefusedAtAnyDepth). All bodies pass here, by way of `wire::decode` and
+/// `wire::decode_stored`.
 #pragma once
 
 #include <cstddef>
@@ -15,7 +18,7 @@
 
 /// What the bytes of texts have to be.
 enum class TextEncoding : std::uint8_t {
-    utf8,  ///< as RFC 8949 asks for
+    utf8,  ///< as RFC 8949 asks for; JSON can't be made of other bytes (CborForm.TextIsUtf8WhereverItStands)
     any,   ///< for records that earlier versions have stored without checking their texts
 };
 
--- a/src/wire/records.cpp
+++ b/src/wire/records.cpp
@@ -52,7 +52,8 @@
 constexpr auto kMostKind = static_cast<std::uint64_t>(core::JobKind::service);
 constexpr auto kMostPriority = static_cast<std::uint64_t>(core::Priority::production);
 
-// Limited to core::kMaxMicros: beyond it, the time would be written back as a negative number.
+// Limited to core::kMaxMicros: far beyond it, the time would be written back as a negative number, which no
+// reader accepts (DecoderFuzz.RecordsOfTheCluster).
 core::Micros from_micros(std::uint64_t micros) {
     constexpr auto kLimit = static_cast<std::uint64_t>(core::kMaxMicros.count());
     return core::Micros{static_cast<std::int64_t>(std::min(micros, kLimit))};
