Simulator: copies of commands that were carried out and answered

Change: the fault duplicate_commands (share, soonest_s, latest_s, for_s) carries out a copy of direct commands again if token and incarnation still match. Without the fault nothing is drawn from the worker's random numbers, so runs of the other scenarios stay as they were.

--- a/src/emulator/faults.cpp
+++ b/src/emulator/faults.cpp
@@ -7,14 +7,16 @@
 
 namespace {
 constexpr std::array kind_names{
-    "controller_crash", "controller_rolling", "controller_freeze", "controller_cut", "leader_changes",
-    "state_outage",     "state_slow",         "late_writes",       "zone_cut",       "machine_cut",
-    "machine_hang",     "machine_slow",       "machine_death",     "machine_mute",   "machine_deaf",
-    "late_reports",     "late_commands",      "spot_taken",        "boot_trouble",   "cloud_outage",
-    "late_rentals",     "job_burst",          "cancel_now",        "cancel_at_end",  "odd_requests",
-    "close_looks"};
+    "controller_crash", "controller_rolling", "controller_freeze",  "controller_cut", "leader_changes",
+    "state_outage",     "state_slow",         "late_writes",        "zone_cut",       "machine_cut",
+    "machine_hang",     "machine_slow",       "machine_death",      "machine_mute",   "machine_deaf",
+    "late_reports",     "late_commands",      "duplicate_commands", "spot_taken",     "boot_trouble",
+    "cloud_outage",     "late_rentals",       "job_burst",          "cancel_now",     "cancel_at_end",
+    "odd_requests",     "close_looks"};
 constexpr double usual_pause_s = 3;
 constexpr double usual_latest_s = 30;
+constexpr double usual_soonest_duplicate_s = 0.3;
+constexpr double usual_latest_duplicate_s = 120;
 
 Micros time_of(TableReader& reader, const char* key, double otherwise = 0) {
     return from_seconds(reader.seconds_or(key, otherwise));
@@ -141,6 +143,11 @@
     }
     read_share(reader, fault);
     if (fault.kind == FaultKind::late_writes) fault.at_once = reader.flag_or("at_once", false);
+    if (fault.kind == FaultKind::duplicate_commands) {
+        fault.soonest = time_of(reader, "soonest_s", usual_soonest_duplicate_s);
+        fault.latest = time_of(reader, "latest_s", usual_latest_duplicate_s);
+        if (fault.latest < fault.soonest) reader.fail("latest_s", "must not be before soonest_s");
+    }
     if (fault.kind != FaultKind::late_reports) return;
     fault.latest = time_of(reader, "latest_s", usual_latest_s);
     fault.for_next_leader = reader.flag_or("for_next_leader", false);
@@ -195,6 +202,7 @@
         case FaultKind::zone_cut:
         case FaultKind::late_reports:
         case FaultKind::late_commands:
+        case FaultKind::duplicate_commands:
             read_message_fault(reader, fault);
             break;
     }
--- a/src/emulator/faults.hpp
+++ b/src/emulator/faults.hpp
@@ -29,6 +29,7 @@
     machine_deaf,        // count, share or zone; for_s
     late_reports,        // share, for_s, latest_s; for_next_leader: kept until one has begun
     late_commands,       // share, for_s
+    duplicate_commands,  // share, for_s, soonest_s, latest_s
     spot_taken,          // share or zone, notice_s, over_s
     boot_trouble,        // fail_share, factor, instant, for_s
     cloud_outage,        // for_s
@@ -77,6 +78,7 @@
     double factor = 1;
     bool at_once = false;
     bool for_next_leader = false;
+    Micros soonest{};
     Micros latest{};
     Micros notice{};
     Micros over{};
--- a/src/emulator/model_faults.cpp
+++ b/src/emulator/model_faults.cpp
@@ -38,6 +38,10 @@
             late_commands_.share = fault.share;
             for (const auto& [id, worker] : fleet_) worker->set_late_commands(late_commands_);
             return true;
+        case FaultKind::duplicate_commands:
+            duplicate_commands_ = {fault.share, fault.soonest, fault.latest};
+            for (const auto& [id, worker] : fleet_) worker->set_duplicate_commands(duplicate_commands_);
+            return true;
         case FaultKind::spot_taken:
             take_spot(fault);
             return true;
@@ -90,6 +94,10 @@
             late_commands_ = {};
             for (const auto& [id, worker] : fleet_) worker->set_late_commands(late_commands_);
             return true;
+        case FaultKind::duplicate_commands:
+            duplicate_commands_ = {};
+            for (const auto& [id, worker] : fleet_) worker->set_duplicate_commands(duplicate_commands_);
+            return true;
         case FaultKind::boot_trouble:
             cloud_.set_boot_trouble({});
             return true;
@@ -172,6 +180,7 @@
 void ModelFaults::join(Worker& worker) {
     worker.set_late_reports(late_reports_);
     worker.set_late_commands(late_commands_);
+    worker.set_duplicate_commands(duplicate_commands_);
 }
 
 void ModelFaults::leader_has_begun(const std::vector<io::Address>& controllers) {
--- a/src/emulator/model_faults.hpp
+++ b/src/emulator/model_faults.hpp
@@ -50,6 +50,7 @@
     std::map<const Fault*, std::vector<std::string>> struck_;  // machines of each fault under way
     LateReports late_reports_;
     LateCommands late_commands_;
+    DuplicateCommands duplicate_commands_;
     io::Scope scope_;
 };
 
--- a/src/emulator/worker.cpp
+++ b/src/emulator/worker.cpp
@@ -263,9 +263,17 @@
     const Micros now = io::steady_now();
     observe_fencing_token(*batch.fencing_token, now);
     execute(batch);
+    copy_commands(batch);
     co_return report_response(ok);
 }
 
+void Worker::copy_commands(const CommandBatch& batch) {
+    // Without the fault nothing is drawn, so that runs of other scenarios stay as they were.
+    if (duplicate_commands_.share <= 0 || !random_.chance(duplicate_commands_.share)) return;
+    scope_.spawn(
+        execute_late(batch, random_.between(duplicate_commands_.soonest, duplicate_commands_.latest)));
+}
+
 io::Task<void> Worker::execute_late(CommandBatch batch, Micros delay) {
     co_await loop_.sleep(delay);
     while (hung_) co_await resumed_.wait();
--- a/src/emulator/worker.hpp
+++ b/src/emulator/worker.hpp
@@ -56,6 +56,13 @@
     Micros latest{16'000'000};
 };
 
+/// Copies of direct commands that were carried out and answered, which arrive again later.
+struct DuplicateCommands {
+    double share = 0;
+    Micros soonest{300'000};
+    Micros latest{120'000'000};
+};
+
 class Worker {
   public:
     Worker(io::Loop& loop, WorkerWorld& world, MachineIdentity machine, io::Address listen_at);
@@ -81,6 +88,7 @@
     void set_slowness(double factor);
     void set_late_reports(const LateReports& late) { late_reports_ = late; }
     void set_late_commands(const LateCommands& late) { late_commands_ = late; }
+    void set_duplicate_commands(const DuplicateCommands& duplicates) { duplicate_commands_ = duplicates; }
     /// Copies kept for the next leader arrive now, at every node given.
     void release_report_copies(const std::vector<io::Address>& nodes);
     /// The cloud has told the machine that it will be taken at this (true) time.
@@ -99,6 +107,7 @@
     void redirect(const io::HttpResult& reply, Micros now);
     void try_next(Micros now);
     void copy_report(const std::string& body);
+    void copy_commands(const CommandBatch& batch);
     bool entitled(const CommandBatch& batch) const;
     void observe_fencing_token(std::uint64_t fencing_token, Micros now);
     void execute(const CommandBatch& batch);
@@ -138,6 +147,7 @@
     bool deaf_ = false;
     LateReports late_reports_;
     LateCommands late_commands_;
+    DuplicateCommands duplicate_commands_;
     std::vector<std::string> kept_copies_;
 
     io::HttpServer server_;
--- a/tests/emulator_models_test.cpp
+++ b/tests/emulator_models_test.cpp
@@ -372,6 +372,11 @@
     static Json start_call(int index) {
         return {{{"call", "start"}, {"leg", "req-1/" + std::to_string(index)}, {"try", 1}}};
     }
+    static Json stop_and_acknowledge_calls(int index) {
+        const std::string task = "req-1/" + std::to_string(index);
+        return Json::array({{{"call", "halt"}, {"leg", task}, {"try", 1}, {"settleS", 0.0}},
+                            {{"call", "reap"}, {"leg", task}, {"try", 1}}});
+    }
 
     io::Loop loop;
     io::Scope scope;
@@ -493,6 +498,24 @@
     EXPECT_TRUE(command_statuses.empty());
 }
 
+TEST_F(WorkerTest, ADuplicateOfAnsweredCommandsIsCarriedOutUnlessTheFencingTokenHasRisen) {
+    worker->set_duplicate_commands({1.0, at(0.2), at(0.21)});
+    scope.spawn(command_after(0, 5, 1, start_call(0)));
+    after(0.05, [&] { worker->set_duplicate_commands({}); });
+    scope.spawn(command_after(0.1, 5, 1, stop_and_acknowledge_calls(0)));
+    after(0.15, [&] { EXPECT_TRUE(worker->tasks().empty()); });
+    after(0.3, [&] {
+        EXPECT_EQ(worker->tasks().size(), 1U);
+        worker->set_duplicate_commands({1.0, at(0.2), at(0.21)});
+    });
+    scope.spawn(command_after(0.35, 5, 1, start_call(1)));
+    scope.spawn(command_after(0.4, 6, 1, stop_and_acknowledge_calls(1)));
+    after(0.45, [&] { EXPECT_EQ(worker->tasks().size(), 1U); });
+    play(0.7);
+    EXPECT_EQ(worker->tasks().size(), 1U);
+    EXPECT_EQ(command_statuses, (std::vector<int>{200, 200, 200, 200}));
+}
+
 TEST_F(WorkerTest, HeartbeatsRecordedForTheNextLeaderArriveWhenReleased) {
     worker->set_late_reports({1.0, at(0), at(0), true});
     Json oldest;
