--- a/tests/fake_services.hpp
+++ b/tests/fake_services.hpp
@@ -381,6 +381,10 @@
         std::vector<std::string> violations;         // descriptions of starts that must not happen
         io::Micros run_time{300'000};
         std::set<std::string> endless_jobs;  // jobs whose tasks never complete
+        // By job: why the first attempt of each of its tasks exits, if not because it completed.
+        std::map<std::string, std::string> first_exit_causes;
+        // By job: why the first attempt of each of its tasks is refused.
+        std::map<std::string, std::string> first_refusals;
         // By job: tasks that must have completed before any task of the job starts.
         std::map<std::string, std::vector<std::string>> required_tasks;
         double lease_s = 3;
@@ -403,7 +407,7 @@
         scope_.spawn(complete_tasks());
     }
     ~FakeWorker() {
-        for (auto& [name, task] : tasks_) remove_from_running(name, task);
+        for (auto& [key, task] : tasks_) remove_from_running(key.first, task);
     }
     const std::string& id() const { return id_; }
     io::Address address() const { return address_; }
@@ -417,6 +421,7 @@
     io::Micros command_latency{0};                  // from the arrival of commands until their execution
     std::optional<std::string> malformed_response;  // the body of each response, and nothing is executed
     std::vector<Json> held_requests;
+    std::vector<Json> answered_requests;  // command requests that were carried out and answered
     Json last_heartbeat;
     std::uint64_t incarnation() const { return incarnation_; }
     // Delivers a late or duplicated command request. Returns false if it was rejected as fenced.
@@ -428,18 +433,19 @@
     }
 
   private:
+    using AttemptKey = std::pair<std::string, std::uint64_t>;  // task and attempt number
     struct TaskState {
-        std::uint64_t attempt = 0;
         std::string state, cause;
         io::Micros completes_at{};
     };
+    static std::string job_of(const std::string& task) { return task.substr(0, task.find('/')); }
     void remove_from_running(const std::string& name, TaskState& task) {
         if (task.state == "running" && world_.running[name] == id_) world_.running.erase(name);
     }
     Json heartbeat() {
         Json tasks = Json::array();
-        for (const auto& [name, task] : tasks_) {
-            Json entry{{"leg", name}, {"try", task.attempt}, {"status", task.state}};
+        for (const auto& [key, task] : tasks_) {
+            Json entry{{"leg", key.first}, {"try", key.second}, {"status", task.state}};
             if (!task.cause.empty()) entry["cause"] = task.cause;
             tasks.push_back(entry);
         }
@@ -458,21 +464,28 @@
         for (const auto& call : calls) {
             const std::string name = call["leg"];
             const auto attempt = call["try"].get<std::uint64_t>();
-            const auto task = tasks_.find(name);
+            const auto task = tasks_.find({name, attempt});
             if (call["call"] == "start") {
-                if (task != tasks_.end() &&
-                    (task->second.attempt == attempt || task->second.state != "exited"))
-                    continue;
-                start_task(name, attempt);
-            } else if (task != tasks_.end() && task->second.attempt == attempt) {
+                if (task == tasks_.end() && !has_live_attempt(name)) start_task(name, attempt);
+            } else if (task != tasks_.end()) {
                 if (call["call"] == "halt") stop_task(name, task->second);
                 if (call["call"] == "reap" && task->second.state == "exited") tasks_.erase(task);
             }
         }
     }
+    bool has_live_attempt(const std::string& name) const {
+        return std::any_of(tasks_.begin(), tasks_.end(), [&](const auto& task) {
+            return task.first.first == name && task.second.state != "exited";
+        });
+    }
     void start_task(const std::string& name, std::uint64_t attempt) {
+        const auto refusal = world_.first_refusals.find(job_of(name));
+        if (attempt == 1 && refusal != world_.first_refusals.end()) {
+            tasks_[{name, attempt}] = {"exited", refusal->second, {}};
+            return;
+        }
         if (world_.running.contains(name)) world_.violations.push_back("ran_twice " + name);
-        for (const auto& dependency : world_.required_tasks[name.substr(0, name.find('/'))]) {
+        for (const auto& dependency : world_.required_tasks[job_of(name)]) {
             if (world_.completed[dependency] != 0) continue;
             std::string violation = "too_early " + name;
             violation += " before " + dependency;
@@ -480,7 +493,7 @@
         }
         world_.running[name] = id_;
         ++world_.started[name];
-        tasks_[name] = {attempt, "running", "", io::steady_now() + world_.run_time};
+        tasks_[{name, attempt}] = {"running", "", io::steady_now() + world_.run_time};
     }
     void stop_task(const std::string& name, TaskState& task) {
         if (task.state == "exited") return;
@@ -505,6 +518,7 @@
             co_return reply(409, heartbeat());
         fencing_token_ = fencing_token;
         execute((*body)["calls"]);
+        answered_requests.push_back(*body);
         co_return reply(200, heartbeat());
     }
     io::Task<void> send_heartbeats() {
@@ -534,7 +548,7 @@
     }
     // Called when the lease has expired: ends all tasks.
     void begin_incarnation(io::Micros monotonic_now) {
-        for (auto& [name, task] : tasks_) remove_from_running(name, task);
+        for (auto& [key, task] : tasks_) remove_from_running(key.first, task);
         tasks_.clear();
         ++incarnation_;
         lease_start_ = monotonic_now;
@@ -543,18 +557,22 @@
         const auto found = std::find(labels_.begin(), labels_.end(), label);
         if (found != labels_.end()) controller_ = static_cast<std::size_t>(found - labels_.begin());
     }
+    void exit_task(const AttemptKey& key, TaskState& task) {
+        const auto& [name, attempt] = key;
+        const auto cause = world_.first_exit_causes.find(job_of(name));
+        const bool fails = attempt == 1 && cause != world_.first_exit_causes.end();
+        if (!fails && world_.endless_jobs.contains(job_of(name))) return;
+        remove_from_running(name, task);
+        task.state = "exited";
+        task.cause = fails ? cause->second : "done";
+        if (!fails) ++world_.completed[name];
+    }
     io::Task<void> complete_tasks() {
         while (true) {
             co_await loop_.sleep(io::Micros{20'000});
             if (suspended) continue;
-            for (auto& [name, task] : tasks_) {
-                if (task.state != "running" || task.completes_at > io::steady_now() ||
-                    world_.endless_jobs.contains(name.substr(0, name.find('/'))))
-                    continue;
-                remove_from_running(name, task);
-                task.state = "exited";
-                task.cause = "done";
-                ++world_.completed[name];
+            for (auto& [key, task] : tasks_) {
+                if (task.state == "running" && task.completes_at <= io::steady_now()) exit_task(key, task);
             }
         }
     }
@@ -567,7 +585,7 @@
     io::Address address_;
     io::HttpClient client_;
     io::Scope scope_;
-    std::map<std::string, TaskState> tasks_;
+    std::map<AttemptKey, TaskState> tasks_;
     std::uint64_t incarnation_ = 1, heartbeat_sequence_ = 0, fencing_token_ = 0;
     std::size_t controller_ =
         0;  // modulo the number of nodes: index of the controller that gets the heartbeats
--- a/tests/test_deployment.hpp
+++ b/tests/test_deployment.hpp
@@ -166,6 +166,17 @@
             for (const auto& request : worker->held_requests) (void)worker->deliver_late_commands(request);
         }
     }
+    // Delivers each command request that was carried out and answered once more; returns how many copies
+    // the workers accepted.
+    std::size_t deliver_answered_commands() {
+        std::size_t accepted = 0;
+        for (auto& [id, worker] : cloud.workers) {
+            for (const auto& request : worker->answered_requests) {
+                if (worker->deliver_late_commands(request)) ++accepted;
+            }
+        }
+        return accepted;
+    }
     // Waits until the condition is true.
     Task<void> until(std::function<bool()> condition) {
         while (!condition()) co_await loop.sleep(Micros{20'000});
