Exits are acknowledged only under a fencing token above that of their starts

Callers saw a task run on two machines at once (ran_twice), and cancelled and refused attempts run.

Cause: knowledge that had lapsed. The answer to a start was taken as proof that nothing of it can arrive any more. The exit was then acknowledged under the token of the start; the worker forgot the attempt, and a copy of the answered start, under a token that still held, ran it again.

Change: a start counts as able to arrive until its epoch is over, unless it was not sent or was refused; the exit waits for the next epoch (ExitAcknowledger). Then the acknowledgement itself raises the worker's token, and every copy gets 409. What is listed without a record is reconciled by a module of its own (OrphanReconciler); an attempt that runs after its recorded end is stopped at the first sight. The exited attempt of a gang blocks a machine only for a replacement with the same number.

Why it works: a worker refuses commands with a token below its highest, tokens never fall, and a controller that is deposed can't reach the number of a later epoch.

--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -183,6 +183,7 @@
         if (until > now) input.protected_members.insert(label);
     }
     input.bound_by_earlier_votes = now - started_at_ < context_.tunables.lease_extension_ttl;
+    input.renewal_requested = context_.epoch_renewal.is_requested(input.current.number);
     input.wall_clock_now = io::wall_now();
     return input;
 }
--- a/src/cluster/membership.hpp
+++ b/src/cluster/membership.hpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "cluster/epoch_renewal.hpp"
 #include "cluster/leadership.hpp"
 #include "cluster/local_health.hpp"
 #include "cluster/peer_directory.hpp"
@@ -30,6 +31,7 @@
     const ReplicatedState& replicated;
     const PeerDirectory& peers;
     const LocalHealth& health;
+    const EpochRenewal& epoch_renewal;
     StoreClient& store;
     Replica& replica;
     ChangeSignals& signals;
--- a/src/controller/controller.hpp
+++ b/src/controller/controller.hpp
@@ -6,6 +6,7 @@
 
 #include "api/http_router.hpp"
 #include "api/user_api.hpp"
+#include "cluster/epoch_renewal.hpp"
 #include "cluster/leadership.hpp"
 #include "cluster/local_health.hpp"
 #include "cluster/membership.hpp"
@@ -63,6 +64,7 @@
     PeerLinks links_;
     PeerReservations reservations_;
     LocalHealth health_;
+    EpochRenewal epoch_renewal_;
     std::optional<core::Catalog>
         catalog_;  // written by ScalingController; none before the cloud's first answer
     core::FreeCapacityCache free_capacity_cache_;  // shared by the planners
--- a/src/core/epoch.cpp
+++ b/src/core/epoch.cpp
@@ -159,7 +159,8 @@
     // An unhealthy leader hands over to a healthy member.
     next.leader = self_healthy ? input.self.label : healthy.front();
     next.shard_owners = assign_shards(input.teams, healthy, next.leader, input.current.shard_owners);
-    if (has_same_assignment(input.current, next)) return std::nullopt;
+    const bool renews = input.renewal_requested && input.current.leader == input.self.label;
+    if (has_same_assignment(input.current, next) && !renews) return std::nullopt;
     return EpochPlan{std::move(next), std::move(*conditions)};
 }
 
--- a/src/core/epoch.hpp
+++ b/src/core/epoch.hpp
@@ -79,6 +79,8 @@
     std::set<std::string> protected_members;
     /// True if extension votes by an earlier run of this controller may still be in force.
     bool bound_by_earlier_votes = false;
+    /// True if the leader should write a new epoch even if nothing but its number changes.
+    bool renewal_requested = false;
     Micros wall_clock_now{};
 };
 
--- a/src/core/placement_trial.cpp
+++ b/src/core/placement_trial.cpp
@@ -82,8 +82,10 @@
     const MachineView* view = capacity_.machines()[machine].view;
     const TaskStatus* listed = view == nullptr ? nullptr : view->task(entry.job.id, task);
     if (listed == nullptr) return false;
-    // A replacement in a gang reuses the attempt number that the worker lists as exited.
-    return listed->state != TaskState::exited || entry.job.kind == JobKind::gang;
+    if (listed->state != TaskState::exited) return true;
+    // A replacement in a gang that is still open reuses its attempt number.
+    const bool is_replacement = entry.job.kind == JobKind::gang && entry.open != 0;
+    return is_replacement && listed->attempt == entry.last_attempt();
 }
 
 void PlacementTrial::change_reserved(const Reservation& reservation, double sign) {
--- a/src/scheduling/attempt_reconciler.cpp
+++ b/src/scheduling/attempt_reconciler.cpp
@@ -217,7 +217,7 @@
     }
     // The task has not started, and no start command with a fencing token that the worker still accepts can
     // be under way.
-    if (!dispatcher_.start_pending(open) &&
+    if (!dispatcher_.start_may_arrive(open) &&
         state.view->last_heartbeat.fencing_token >= replicated_.epoch().number) {
         staged.close(open, TaskOutcome::unfinished);
     } else {
--- /dev/null
+++ b/src/scheduling/fencing_token_monitor.hpp
@@ -0,0 +1,32 @@
+/// Requests a new epoch when many exits wait for a higher fencing token.
+#pragma once
+
+#include "cluster/epoch_renewal.hpp"
+#include "cluster/leadership.hpp"
+#include "core/token_renewal.hpp"
+#include "store/replicated_state.hpp"
+#include "workers/worker_status.hpp"
+
+namespace hatchwind::controller {
+
+/// Acts only on the cluster leader, which writes the epochs.
+class FencingTokenMonitor {
+  public:
+    FencingTokenMonitor(const ReplicatedState& replicated, const Leadership& leadership,
+                        const WorkerStatus& workers, EpochRenewal& renewal)
+        : replicated_(replicated), leadership_(leadership), workers_(workers), renewal_(renewal) {}
+
+    /// Counts the exits that workers list, and requests a new epoch if one is due. Called every few seconds.
+    void check();
+
+  private:
+    core::ExitBacklog backlog() const;
+
+    const ReplicatedState& replicated_;
+    const Leadership& leadership_;
+    const WorkerStatus& workers_;
+    EpochRenewal& renewal_;
+    core::TokenRenewalPolicy policy_;
+};
+
+}  // namespace hatchwind::controller
--- a/src/scheduling/group_commit.cpp
+++ b/src/scheduling/group_commit.cpp
@@ -185,7 +185,7 @@
     // Jobs that depend on the ended jobs can be released without waiting for the watch.
     if (!unit.job_ends.empty()) context_.signals.replica_advanced.notify_all();
     context_.page_writer.record_committed(unit.chunks);
-    for (TaskAttempt& closed : unit.closed) context_.dispatcher.queue_exit_acknowledgement(std::move(closed));
+    for (TaskAttempt& closed : unit.closed) context_.acknowledger.queue(std::move(closed));
 }
 
 // Attempts may start once they are recorded. If this controller is no longer the shard owner, workers reject
@@ -205,8 +205,7 @@
     for (const WriteUnit& unit : group.units) {
         for (const TaskAttempt& closed : unit.closed) {
             const core::Attempt* open = context_.replicated.job_table().open_attempt(closed.job, closed.task);
-            if (open == nullptr || open->number != closed.attempt.number)
-                context_.dispatcher.queue_exit_acknowledgement(closed);
+            if (open == nullptr || open->number != closed.attempt.number) context_.acknowledger.queue(closed);
         }
     }
 }
--- a/src/scheduling/group_commit.hpp
+++ b/src/scheduling/group_commit.hpp
@@ -13,6 +13,7 @@
 #include "io/loop.hpp"
 #include "scheduling/attempt_page_writer.hpp"
 #include "scheduling/command_dispatcher.hpp"
+#include "scheduling/exit_acknowledger.hpp"
 #include "scheduling/write_unit.hpp"
 #include "store/change_signals.hpp"
 #include "store/replica.hpp"
@@ -33,6 +34,7 @@
     ChangeSignals& signals;
     AttemptPageWriter& page_writer;
     CommandDispatcher& dispatcher;
+    ExitAcknowledger& acknowledger;
 };
 
 /// Every transaction is conditional on the epoch, so a transaction of an earlier epoch can't be committed.
--- a/src/scheduling/shard_scheduler.cpp
+++ b/src/scheduling/shard_scheduler.cpp
@@ -28,7 +28,10 @@
 
 ShardScheduler::ShardScheduler(const SchedulingContext& context)
     : context_(context),
-      dispatcher_(context.replicated, context.leadership, context.workers, context.commands),
+      dispatcher_(context.replicated, context.commands),
+      acknowledger_(context.workers, context.commands),
+      orphans_(context.replicated, context.leadership, context.workers, context.commands),
+      token_monitor_(context.replicated, context.leadership, context.workers, context.epoch_renewal),
       failure_backoff_(context.replicated, context.workers),
       reconciler_(context.settings, context.replicated, context.leadership, context.workers, context.leases,
                   dispatcher_, failure_backoff_),
@@ -37,7 +40,7 @@
                   dispatcher_, context.holds}),
       page_writer_(context.settings, context.replicated, context.leadership, context.workers),
       commit_({context.loop, context.settings, context.replicated, context.leadership, context.store,
-               context.replica, context.signals, page_writer_, dispatcher_}) {}
+               context.replica, context.signals, page_writer_, dispatcher_, acknowledger_}) {}
 
 Task<void> ShardScheduler::run() {
     while (true) {
@@ -49,8 +52,12 @@
         start_epoch();
         auto whole_pass = pass();
         co_await std::move(whole_pass);
-        dispatcher_.acknowledge_exits();
-        if (dispatcher_.reconcile_orphans()) failure_backoff_.remove_obsolete();
+        acknowledger_.send_due();
+        if (orphans_.reconcile()) {
+            dispatcher_.forget_closed_attempts();
+            failure_backoff_.remove_obsolete();
+            token_monitor_.check();
+        }
         auto erasure = erase_unused_pages();
         co_await std::move(erasure);
     }
@@ -60,6 +67,7 @@
     if (last_seen_epoch_ == context_.replicated.epoch().number) return;
     last_seen_epoch_ = context_.replicated.epoch().number;
     dispatcher_.start_epoch();
+    acknowledger_.start_epoch();
     placement_.start_epoch();
     page_writer_.start_epoch();
     reconciler_.start_epoch();
--- a/src/scheduling/shard_scheduler.hpp
+++ b/src/scheduling/shard_scheduler.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <vector>
 
+#include "cluster/epoch_renewal.hpp"
 #include "cluster/leadership.hpp"
 #include "cluster/peer_links.hpp"
 #include "cluster/peer_reservations.hpp"
@@ -13,8 +14,11 @@
 #include "scheduling/attempt_page_writer.hpp"
 #include "scheduling/attempt_reconciler.hpp"
 #include "scheduling/command_dispatcher.hpp"
+#include "scheduling/exit_acknowledger.hpp"
 #include "scheduling/failure_backoff.hpp"
+#include "scheduling/fencing_token_monitor.hpp"
 #include "scheduling/group_commit.hpp"
+#include "scheduling/orphan_reconciler.hpp"
 #include "scheduling/placement_round.hpp"
 #include "store/replica.hpp"
 #include "store/replicated_state.hpp"
@@ -40,6 +44,7 @@
     const StartHolds& holds;
     core::FreeCapacityCache& free_capacity_cache;
     ChangeSignals& signals;
+    EpochRenewal& epoch_renewal;
 };
 
 /// Acts only while this controller holds its leadership lease. Resets its state at the start of each epoch.
@@ -79,6 +84,9 @@
 
     const SchedulingContext context_;
     CommandDispatcher dispatcher_;
+    ExitAcknowledger acknowledger_;
+    OrphanReconciler orphans_;
+    FencingTokenMonitor token_monitor_;
     FailureBackoff failure_backoff_;
     AttemptReconciler reconciler_;
     PlacementRound placement_;
--- a/src/workers/command_sender.cpp
+++ b/src/workers/command_sender.cpp
@@ -23,9 +23,9 @@
 
 void CommandSender::forget_earlier_epochs() {
     const std::uint64_t epoch = epoch_number();
-    if (oldest_unanswered_epoch_ == epoch) return;
-    oldest_unanswered_epoch_ = epoch;
-    std::erase_if(unanswered_starts_, [&](const auto& start) { return start.second.epoch < epoch; });
+    if (oldest_issued_epoch_ == epoch) return;
+    oldest_issued_epoch_ = epoch;
+    std::erase_if(issued_starts_, [&](const auto& start) { return start.second.epoch < epoch; });
 }
 
 void CommandSender::enqueue(const std::string& machine, std::uint64_t incarnation,
@@ -48,24 +48,25 @@
     context_.scope.spawn(send(machine));
 }
 
-bool CommandSender::start_pending(const std::string& job, std::uint32_t task, std::uint64_t attempt) const {
-    const auto start = unanswered_starts_.find({job, task, attempt});
-    return start != unanswered_starts_.end() && start->second.epoch == epoch_number();
+bool CommandSender::start_may_arrive(const std::string& job, std::uint32_t task,
+                                     std::uint64_t attempt) const {
+    const auto start = issued_starts_.find({job, task, attempt});
+    return start != issued_starts_.end() && start->second.epoch == epoch_number();
 }
 
 void CommandSender::count_start(const core::WorkerCommand& command) {
     if (command.kind != core::CommandKind::start) return;
     const std::uint64_t epoch = epoch_number();
-    UnansweredStart& start = unanswered_starts_[{command.job, command.task, command.attempt}];
+    IssuedStart& start = issued_starts_[{command.job, command.task, command.attempt}];
     if (start.epoch != epoch) start = {epoch, 0};
     ++start.copies;
 }
 
 void CommandSender::resolve_start_copy(const core::WorkerCommand& command, std::uint64_t epoch) {
     if (command.kind != core::CommandKind::start) return;
-    const auto start = unanswered_starts_.find({command.job, command.task, command.attempt});
-    if (start == unanswered_starts_.end() || start->second.epoch != epoch) return;
-    if (--start->second.copies == 0) unanswered_starts_.erase(start);
+    const auto start = issued_starts_.find({command.job, command.task, command.attempt});
+    if (start == issued_starts_.end() || start->second.epoch != epoch) return;
+    if (--start->second.copies == 0) issued_starts_.erase(start);
 }
 
 void CommandSender::resolve_start_copies(const std::vector<core::WorkerCommand>& commands,
@@ -77,11 +78,11 @@
                                  const std::vector<core::WorkerCommand>& commands,
                                  const io::HttpResult& reply) {
     // With a conflict the worker refuses the commands, because it knows a higher fencing token or has another
-    // incarnation. That is an answer too.
-    const bool answered =
-        reply.has_status(io::http_status::kOk) || reply.has_status(io::http_status::kConflict);
-    // Resolves only the copies in this request; other unanswered copies may still arrive.
-    if (answered || reply.never_sent()) resolve_start_copies(commands, epoch);
+    // incarnation, and it would refuse a duplicate too.
+    const bool refused = reply.has_status(io::http_status::kConflict);
+    const bool answered = reply.has_status(io::http_status::kOk) || refused;
+    // Resolves only the copies in this request; other copies may still arrive.
+    if (refused || reply.never_sent()) resolve_start_copies(commands, epoch);
     if (answered) {
         context_.workers.handle_response_body(reply->body);
         context_.signals.scheduling_needed.notify_all();
--- a/src/workers/command_sender.hpp
+++ b/src/workers/command_sender.hpp
@@ -1,7 +1,7 @@
 /// Sends commands to workers. Each machine has a queue; commands that are queued in the same iteration of the
 /// event loop go out in one request.
 ///
-/// Owns the queues and the record of unanswered starts. Both are kept in memory only and are discarded with
+/// Owns the queues and the record of issued starts. Both are kept in memory only and are discarded with
 /// the epoch and the worker incarnation that they belong to: reconciliation repeats the commands for attempts
 /// that the store records and the worker does not report.
 #pragma once
@@ -47,9 +47,9 @@
     /// the store. Drops the command if the machine's queue is full; reconciliation repeats it.
     void enqueue(const std::string& machine, std::uint64_t incarnation, core::WorkerCommand command);
     /// Returns true if a copy of this attempt's start that was issued under the current epoch may still reach
-    /// the worker. The attempt's exit must not be acknowledged before: a late copy would start the task
-    /// again.
-    bool start_pending(const std::string& job, std::uint32_t task, std::uint64_t attempt) const;
+    /// the worker; also true after the worker has answered, because a duplicate may follow. The attempt's
+    /// exit must not be acknowledged before: a late copy would start the task again.
+    bool start_may_arrive(const std::string& job, std::uint32_t task, std::uint64_t attempt) const;
     /// Returns true if a request that contains a start of the job has been sent and is not completed yet.
     bool start_in_flight(const std::string& job) const { return starts_in_flight_.contains(job); }
 
@@ -60,9 +60,9 @@
         std::vector<core::WorkerCommand> commands;
         bool sending = false;
     };
-    /// Unanswered copies of one start that were issued under one epoch. Each of them may still arrive; one
-    /// that arrives after the exit was acknowledged would start the task again.
-    struct UnansweredStart {
+    /// Copies of one start that were issued under one epoch, less those that were not sent or were refused.
+    /// Each of them may still arrive, once or more often.
+    struct IssuedStart {
         std::uint64_t epoch = 0;
         std::uint32_t copies = 0;
     };
@@ -89,14 +89,14 @@
     /// Records that one copy of a start that was issued under `epoch` can no longer arrive.
     void resolve_start_copy(const core::WorkerCommand& command, std::uint64_t epoch);
     void resolve_start_copies(const std::vector<core::WorkerCommand>& commands, std::uint64_t epoch);
-    /// Removes the unanswered starts of earlier epochs, which workers refuse.
+    /// Removes the starts of earlier epochs.
     void forget_earlier_epochs();
 
     const CommandSenderContext context_;
     std::map<std::string, CommandQueue> queues_;  // by machine
-    std::map<AttemptKey, UnansweredStart> unanswered_starts_;
+    std::map<AttemptKey, IssuedStart> issued_starts_;
     std::map<std::string, std::size_t> starts_in_flight_;  // by job: in requests that are not completed
-    std::uint64_t oldest_unanswered_epoch_ = 0;            // no unanswered start is older
+    std::uint64_t oldest_issued_epoch_ = 0;                // no issued start is older
 };
 
 }  // namespace hatchwind::controller
--- a/tests/epoch_test.cpp
+++ b/tests/epoch_test.cpp
@@ -284,6 +284,7 @@
         }
         input.bound_by_earlier_votes = now_ - controller.started < kVoteTtl;
         input.wall_clock_now = now_;
+        input.renewal_requested = *rc::gen::inRange(0, 4) == 0;
         const auto plan = core::plan_epoch(input);
         if (!plan) return;
         const EpochWrite write{*plan, epoch_.mod_revision, now_ + Micros{*rc::gen::inRange(0, 3'000'000)}};
@@ -363,6 +364,27 @@
     EXPECT_FALSE(core::plan_epoch(input).has_value()) << "a vote binds";
 }
 
+TEST(Membership, OnlyTheLeaderRenewsAnUnchangedEpoch) {
+    EpochInput input;
+    input.teams = teams(2);
+    input.member_records = {{"a", {1, 1}}, {"b", {2, 2}}};
+    input.self = {"a", 1};
+    const auto first = core::plan_epoch(input);
+    ASSERT_TRUE(first);
+    input.current = first->next;
+    EXPECT_FALSE(core::plan_epoch(input));
+    input.renewal_requested = true;
+    const auto renewed = core::plan_epoch(input);
+    ASSERT_TRUE(renewed);
+    EXPECT_EQ(renewed->next.number, first->next.number + 1);
+    EXPECT_EQ(renewed->next.leader, "a");
+    EXPECT_EQ(renewed->next.members, first->next.members);
+    EXPECT_EQ(renewed->next.shard_owners, first->next.shard_owners);
+    EXPECT_EQ(renewed->next.removed_at, first->next.removed_at);
+    input.self = {"b", 2};
+    EXPECT_FALSE(core::plan_epoch(input));
+}
+
 TEST(Membership, AnUnhealthyLeaderHandsOver) {
     EpochInput input;
     input.self = {"a", 1};
--- a/tests/fake_services.hpp
+++ b/tests/fake_services.hpp
@@ -424,6 +424,10 @@
     std::vector<Json> answered_requests;  // command requests that were carried out and answered
     Json last_heartbeat;
     std::uint64_t incarnation() const { return incarnation_; }
+    // Removes the exited attempts, as if their exits had been acknowledged.
+    void forget_exits() {
+        std::erase_if(tasks_, [](const auto& task) { return task.second.state == "exited"; });
+    }
     // Delivers a late or duplicated command request. Returns false if it was rejected as fenced.
     bool deliver_late_commands(const Json& request) {
         if (request["baton"].get<std::uint64_t>() < fencing_token_ || request["stint"] != incarnation_)
--- a/tests/test_deployment.hpp
+++ b/tests/test_deployment.hpp
@@ -195,6 +195,24 @@
                    : 0;
     }
 
+    // Writes the next epoch with the same members and shard owners.
+    void write_next_epoch() {
+        Json epoch_record = state.items.at("h/epoch").value;
+        epoch_record["number"] = epoch_record["number"].get<std::uint64_t>() + 1;
+        const Json write{{"write", "h/epoch"}, {"v", epoch_record}};
+        state.deliver_late_commit({{"when", Json::array()}, {"writes", Json::array({write})}});
+    }
+    // Waits until every worker has received the fencing token of the current epoch.
+    Task<void> until_workers_know_epoch() {
+        const std::function<bool()> all_know = [this] {
+            return std::all_of(cloud.workers.begin(), cloud.workers.end(), [this](const auto& worker) {
+                return worker.second->fencing_token() == epoch();
+            });
+        };
+        auto waiting = until(all_know);
+        co_await std::move(waiting);
+    }
+
     // Runs the scenario; fails the test if the scenario does not finish within 90 s or a worker reports a
     // violation. The time limit only guards against a hanging test.
     void play(std::function<Task<void>(TestDeployment&)> scenario) {
