A start without an answer is not sent again after its job's cancellation

Callers were told that a job is cancelled, and then saw a task of it start and stop at once.

Cause: an action where a right should have been withdrawn. A start that got no answer may still arrive after the cancel; the shard owner sent it once more with its stop behind it, so that the worker would know the attempt as exited. If the first copy was lost, the task ran only because of that.

Change: in place of the pair the shard owner requests a new epoch and sends the stop alone. Any live member may write such a renewal: it changes nothing but the number, is conditional on the epoch and on the writer's member key, and follows the epoch before it after a second at least. Because it removes nobody, one that gets no answer rules out no vote to extend a lease. A start of a cancelled or held job now never leaves a controller, so the check in CommandSender needs no exception for pairs.

Why it works: workers refuse a lower token, so once the machine has the new one the start can't run; the attempt is closed only then.

--- a/src/cluster/epoch_renewal.hpp
+++ b/src/cluster/epoch_renewal.hpp
@@ -5,8 +5,8 @@
 
 namespace hatchwind::controller {
 
-/// Written only by `FencingTokenMonitor`, and read by `Membership`. Kept in memory only; a request is void
-/// once the epoch has changed.
+/// Written by `FencingTokenMonitor` and `CommandDispatcher`, and read by `Membership`. Kept in memory only; a
+/// request is void once the epoch has changed.
 class EpochRenewal {
   public:
     /// Requests an epoch to follow the one with this number.
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -24,6 +24,7 @@
 constexpr Micros kEpochWriteTimeout{1'200'000};
 constexpr Micros kEpochReplicaTimeout{1'500'000};
 constexpr Micros kWriteDelayPerRank{120'000};
+constexpr Micros kMinRenewalInterval{1'000'000};
 }  // namespace
 
 Task<void> Membership::keep_store_lease() {
@@ -152,11 +153,12 @@
     for (const auto& [label, mod_revision] : plan.member_conditions)
         transaction.conditions.push_back({keys::member(label), mod_revision});
     transaction.writes.push_back({keys::kEpoch, wire::epoch_record(plan.next), 0});
-    writing_epoch_ = true;
+    writing_epoch_ = !plan.is_renewal;
     auto writing = context_.store.commit(std::move(transaction), steady_now() + kEpochWriteTimeout);
     const CommitResult result = co_await std::move(writing);
     writing_epoch_ = false;
-    if (result.outcome == CommitOutcome::unknown) unanswered_epoch_write_ = current;
+    // A renewal that is carried out late removes nobody, so it rules out no vote.
+    if (result.outcome == CommitOutcome::unknown && !plan.is_renewal) unanswered_epoch_write_ = current;
     if (result.outcome == CommitOutcome::committed) {
         spdlog::info("event=epoch_written number={} revision={}", plan.next.number, result.revision);
     }
@@ -188,8 +190,9 @@
     return input;
 }
 
-bool Membership::may_write_epoch(Micros now) {
+bool Membership::may_write(const core::EpochPlan& plan, Micros now) {
     const std::string& label = context_.leadership.label();
+    if (plan.is_renewal) return now - context_.replicated.epoch_seen_at() >= kMinRenewalInterval;
     if (context_.replicated.epoch().leader == label) return true;
     // The other controllers wait in the order of their labels, so that they don't all write at once.
     if (epoch_needed_since_.count() == 0) epoch_needed_since_ = now;
@@ -215,7 +218,7 @@
             epoch_needed_since_ = Micros{0};
             continue;
         }
-        if (!may_write_epoch(now)) continue;
+        if (!may_write(*plan, now)) continue;
         auto writing = write_epoch(std::move(*plan));
         co_await std::move(writing);
     }
--- a/src/cluster/membership.hpp
+++ b/src/cluster/membership.hpp
@@ -70,9 +70,10 @@
     void request_lease_extension();
 
     core::EpochInput epoch_input(io::Micros now) const;
-    /// Returns true if this controller may write the next epoch now. The cluster leader may at once; the
-    /// others wait for a time that grows with their rank by label, so that they don't all write at once.
-    bool may_write_epoch(io::Micros now);
+    /// Returns true if this controller may write the planned epoch now. The cluster leader may at once; the
+    /// others wait for a time that grows with their rank by label, so that they don't all write at once. A
+    /// renewal follows the epoch before it after a pause.
+    bool may_write(const core::EpochPlan& plan, io::Micros now);
     io::Task<void> write_epoch(core::EpochPlan plan);
 
     const MembershipContext context_;
--- a/src/core/epoch.cpp
+++ b/src/core/epoch.cpp
@@ -139,7 +139,9 @@
     return ShardAssignment{teams, members, leader}.run(previous);
 }
 
-std::optional<EpochPlan> plan_epoch(const EpochInput& input) {
+namespace {
+
+std::optional<EpochPlan> plan_assignment(const EpochInput& input) {
     if (!may_write_epoch(input)) return std::nullopt;
     auto conditions = removal_conditions(input);
     if (!conditions) return std::nullopt;
@@ -159,9 +161,23 @@
     // An unhealthy leader hands over to a healthy member.
     next.leader = self_healthy ? input.self.label : healthy.front();
     next.shard_owners = assign_shards(input.teams, healthy, next.leader, input.current.shard_owners);
-    const bool renews = input.renewal_requested && input.current.leader == input.self.label;
-    if (has_same_assignment(input.current, next) && !renews) return std::nullopt;
-    return EpochPlan{std::move(next), std::move(*conditions)};
+    if (has_same_assignment(input.current, next)) return std::nullopt;
+    return EpochPlan{std::move(next), std::move(*conditions), false};
+}
+
+std::optional<EpochPlan> plan_renewal(const EpochInput& input) {
+    const Member* self = input.current.member(input.self.label);
+    if (self == nullptr || *self != input.self || !is_alive(input.self, input)) return std::nullopt;
+    EpochPlan plan{input.current, {condition_on(input.self.label, input)}, true};
+    ++plan.next.number;
+    return plan;
+}
+
+}  // namespace
+
+std::optional<EpochPlan> plan_epoch(const EpochInput& input) {
+    auto plan = plan_assignment(input);
+    return plan || !input.renewal_requested ? std::move(plan) : plan_renewal(input);
 }
 
 Micros LeadershipLease::safe_end(Micros start, Micros time_to_live) {
--- a/src/core/epoch.hpp
+++ b/src/core/epoch.hpp
@@ -79,7 +79,7 @@
     std::set<std::string> protected_members;
     /// True if extension votes by an earlier run of this controller may still be in force.
     bool bound_by_earlier_votes = false;
-    /// True if the leader should write a new epoch even if nothing but its number changes.
+    /// True if an epoch should be written even if it changes nothing but the number.
     bool renewal_requested = false;
     Micros wall_clock_now{};
 };
@@ -96,11 +96,13 @@
 struct EpochPlan {
     Epoch next;
     std::vector<MemberCondition> member_conditions;
+    bool is_renewal = false;  ///< changes nothing but the number
 };
 
 /// Returns the epoch that this controller should write now, or nothing. Only the leader writes epochs while
 /// its member key exists; otherwise any live controller may, and the first commit wins. Returns nothing if a
-/// member would have to be removed that an extension vote of this controller may still protect.
+/// member would have to be removed that an extension vote of this controller may still protect. Any live
+/// member may write a renewal, which removes nobody.
 std::optional<EpochPlan> plan_epoch(const EpochInput& input);
 
 /// Assigns each team's shard to a member and returns member labels by team. Keeps previous owners unless
--- a/src/scheduling/command_dispatcher.cpp
+++ b/src/scheduling/command_dispatcher.cpp
@@ -56,9 +56,8 @@
     SentCommands& sent = sent_commands(open);
     if (monotonic_now - sent.last_stop < kStopResendInterval) return;
     sent.last_stop = monotonic_now;
-    // The stop makes the worker adopt the current fencing token. If a start command is under way, the same
-    // start is sent first, so that the stop ends the attempt no matter when that command arrives.
-    if (start_may_arrive(open)) enqueue(CommandKind::start, open);
+    if (start_may_arrive(open)) renewal_.request(replicated_.epoch().number);
+    // Makes the worker adopt the current fencing token.
     enqueue(CommandKind::stop, open);
 }
 
--- a/src/scheduling/command_dispatcher.hpp
+++ b/src/scheduling/command_dispatcher.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 
+#include "cluster/epoch_renewal.hpp"
 #include "core/placement.hpp"
 #include "scheduling/open_attempt.hpp"
 #include "store/replicated_state.hpp"
@@ -20,8 +21,8 @@
 /// they are dispatched.
 class CommandDispatcher {
   public:
-    CommandDispatcher(const ReplicatedState& replicated, CommandSender& commands)
-        : replicated_(replicated), commands_(commands) {}
+    CommandDispatcher(const ReplicatedState& replicated, CommandSender& commands, EpochRenewal& renewal)
+        : replicated_(replicated), commands_(commands), renewal_(renewal) {}
 
     /// Sends the first start command of an attempt. The attempt's record must be committed.
     void dispatch_start(const TaskAttempt& started);
@@ -32,8 +33,8 @@
     /// Sends a stop command with a grace period of `grace_s` seconds. Does nothing until `resend_interval`
     /// has passed since the attempt's last stop command.
     void stop(const OpenAttempt& open, double grace_s, io::Micros resend_interval);
-    /// Sends a stop command for an attempt that its worker does not list; it also ends an attempt whose start
-    /// command is under way.
+    /// Sends a stop command for an attempt that its worker does not list. If a start command may still
+    /// arrive, also requests a new epoch, under which the worker refuses that start.
     void stop_unlisted(const OpenAttempt& open, io::Micros monotonic_now);
     /// Sends the stop command of a preemption, which frees capacity for another task.
     void preempt(const core::Stop& stop);
@@ -59,6 +60,7 @@
 
     const ReplicatedState& replicated_;
     CommandSender& commands_;
+    EpochRenewal& renewal_;
     std::map<core::TaskRef, SentCommands> sent_commands_;
 };
 
--- a/src/scheduling/shard_scheduler.cpp
+++ b/src/scheduling/shard_scheduler.cpp
@@ -28,7 +28,7 @@
 
 ShardScheduler::ShardScheduler(const SchedulingContext& context)
     : context_(context),
-      dispatcher_(context.replicated, context.commands),
+      dispatcher_(context.replicated, context.commands, context.epoch_renewal),
       acknowledger_(context.workers, context.commands),
       orphans_(context.replicated, context.leadership, context.workers, context.commands),
       token_monitor_(context.replicated, context.leadership, context.workers, context.epoch_renewal),
--- a/src/workers/command_sender.cpp
+++ b/src/workers/command_sender.cpp
@@ -96,31 +96,20 @@
                   reply.status_or(kNoResponse), commands.size());
 }
 
-// A start of a cancelled or held job is allowed only if a stop of the same attempt follows in the same
-// request. The pair makes the worker record the attempt as exited, so that a late copy of the start has no
-// effect.
-bool CommandSender::is_forbidden(const CommandQueue& queue, std::size_t position) const {
-    const core::WorkerCommand& command = queue.commands[position];
+bool CommandSender::is_forbidden(const core::WorkerCommand& command) const {
     if (command.kind != core::CommandKind::start) return false;
     const core::JobEntry* entry = context_.replicated.job_table().find(command.job);
     const bool cancelled = entry != nullptr && entry->job.cancelled;
-    if (!cancelled && !context_.holds.holds(command.job, steady_now())) return false;
-    const auto first_later = queue.commands.begin() + static_cast<std::ptrdiff_t>(position) + 1;
-    return std::none_of(first_later, queue.commands.end(), [&](const core::WorkerCommand& later) {
-        return later.kind == core::CommandKind::stop && later.job == command.job &&
-               later.task == command.task && later.attempt == command.attempt;
-    });
+    return cancelled || context_.holds.holds(command.job, steady_now());
 }
 
 void CommandSender::drop_forbidden_starts(CommandQueue& queue) {
-    // Iterates from the back, so that erasing a command does not move those still to be checked.
-    for (std::size_t i = queue.commands.size(); i-- > 0;) {
-        if (!is_forbidden(queue, i)) continue;
-        const core::WorkerCommand& start = queue.commands[i];
-        spdlog::debug("event=start_dropped job={} task={}", start.job, start.task);
-        resolve_start_copy(start, queue.epoch);
-        queue.commands.erase(queue.commands.begin() + static_cast<std::ptrdiff_t>(i));
-    }
+    std::erase_if(queue.commands, [&](const core::WorkerCommand& command) {
+        if (!is_forbidden(command)) return false;
+        spdlog::debug("event=start_dropped job={} task={}", command.job, command.task);
+        resolve_start_copy(command, queue.epoch);
+        return true;
+    });
 }
 
 void CommandSender::count_in_flight(const std::vector<core::WorkerCommand>& commands) {
--- a/src/workers/command_sender.hpp
+++ b/src/workers/command_sender.hpp
@@ -80,7 +80,8 @@
     io::Task<void> send(std::string machine);
     /// Removes the starts of jobs that have been cancelled or held since the start was queued.
     void drop_forbidden_starts(CommandQueue& queue);
-    bool is_forbidden(const CommandQueue& queue, std::size_t position) const;
+    /// Returns true for a start of a job that is cancelled or held.
+    bool is_forbidden(const core::WorkerCommand& command) const;
     void count_in_flight(const std::vector<core::WorkerCommand>& commands);
     void resolve_in_flight(const std::vector<core::WorkerCommand>& commands);
     void handle_reply(const std::string& machine, std::uint64_t epoch,
