--- a/src/scheduling/cancellation_enforcer.cpp
+++ b/src/scheduling/cancellation_enforcer.cpp
@@ -61,7 +61,8 @@
         spdlog::debug("event=cancelled_task_stopped job={} task={} machine={}", open.task.job, open.task.task,
                       open.attempt.machine);
         commands_.enqueue(open.attempt.machine, open.attempt.incarnation,
-                          {core::CommandKind::stop, open.task.job, open.task.task, open.attempt.number, 0});
+                          {core::CommandKind::stop, open.task.job, open.task.task, open.attempt.number, 0},
+                          CommandReason::cancelled);
     }
 }
 
--- a/src/scheduling/command_dispatcher.cpp
+++ b/src/scheduling/command_dispatcher.cpp
@@ -16,15 +16,10 @@
     return sent;
 }
 
-void CommandDispatcher::enqueue(CommandKind kind, const OpenAttempt& open, double grace_s) {
+void CommandDispatcher::enqueue(CommandKind kind, const OpenAttempt& open, CommandReason reason,
+                                double grace_s) {
     commands_.enqueue(open.attempt.machine, open.attempt.incarnation,
-                      {kind, open.job(), open.task, open.attempt.number, grace_s});
-}
-
-void CommandDispatcher::enqueue(CommandKind kind, const TaskAttempt& recorded) {
-    const core::Attempt& attempt = recorded.attempt;
-    commands_.enqueue(attempt.machine, attempt.incarnation,
-                      {kind, recorded.job, recorded.task, attempt.number, kNoGrace});
+                      {kind, open.job(), open.task, open.attempt.number, grace_s}, reason);
 }
 
 bool CommandDispatcher::start_may_arrive(const OpenAttempt& open) const {
@@ -34,14 +29,17 @@
 void CommandDispatcher::dispatch_start(const TaskAttempt& started) {
     sent_commands_[{started.job, started.task}] =
         SentCommands{started.attempt.number, steady_now(), Micros{0}};
-    enqueue(CommandKind::start, started);
+    const core::Attempt& attempt = started.attempt;
+    commands_.enqueue(attempt.machine, attempt.incarnation,
+                      {CommandKind::start, started.job, started.task, attempt.number, kNoGrace},
+                      CommandReason::recorded);
 }
 
 void CommandDispatcher::repeat_start(const OpenAttempt& open, Micros monotonic_now) {
     SentCommands& sent = sent_commands(open);
     if (monotonic_now - sent.last_start < kStartResendInterval) return;
     sent.last_start = monotonic_now;
-    enqueue(CommandKind::start, open);
+    enqueue(CommandKind::start, open, CommandReason::unlisted);
 }
 
 void CommandDispatcher::stop(const OpenAttempt& open, double grace_s, Micros resend_interval) {
@@ -49,7 +47,8 @@
     const Micros now = steady_now();
     if (now - sent.last_stop < resend_interval) return;
     sent.last_stop = now;
-    enqueue(CommandKind::stop, open, grace_s);
+    const auto reason = open.entry.job.cancelled ? CommandReason::cancelled : CommandReason::evacuated;
+    enqueue(CommandKind::stop, open, reason, grace_s);
 }
 
 void CommandDispatcher::stop_unlisted(const OpenAttempt& open, Micros monotonic_now) {
@@ -58,12 +57,13 @@
     sent.last_stop = monotonic_now;
     if (start_may_arrive(open)) renewal_.request(replicated_.epoch().number);
     // Makes the worker adopt the current fencing token.
-    enqueue(CommandKind::stop, open);
+    enqueue(CommandKind::stop, open, CommandReason::unlisted);
 }
 
 void CommandDispatcher::preempt(const core::Stop& stop) {
     commands_.enqueue(stop.attempt.machine, stop.attempt.incarnation,
-                      {CommandKind::stop, stop.job, stop.task, stop.attempt.number, stop.grace_s});
+                      {CommandKind::stop, stop.job, stop.task, stop.attempt.number, stop.grace_s},
+                      CommandReason::preempted);
 }
 
 void CommandDispatcher::forget_closed_attempts() {
--- a/src/scheduling/command_dispatcher.hpp
+++ b/src/scheduling/command_dispatcher.hpp
@@ -55,8 +55,8 @@
     };
 
     SentCommands& sent_commands(const OpenAttempt& open);
-    void enqueue(core::CommandKind kind, const OpenAttempt& open, double grace_s = kNoGrace);
-    void enqueue(core::CommandKind kind, const TaskAttempt& recorded);
+    void enqueue(core::CommandKind kind, const OpenAttempt& open, CommandReason reason,
+                 double grace_s = kNoGrace);
 
     const ReplicatedState& replicated_;
     CommandSender& commands_;
--- a/src/scheduling/exit_acknowledger.cpp
+++ b/src/scheduling/exit_acknowledger.cpp
@@ -33,13 +33,16 @@
 bool ExitAcknowledger::acknowledge_or_defer(TaskAttempt closed) {
     const core::Attempt& attempt = closed.attempt;
     if (commands_.start_may_arrive(closed.job, closed.task, attempt.number)) {
+        spdlog::debug("event=exit_deferred job={} task={} attempt={} machine={}", closed.job, closed.task,
+                      attempt.number, attempt.machine);
         deferred_[attempt.machine].push_back(std::move(closed));
         return false;
     }
     const auto view = core::view_attempt(workers_.cluster_view(), closed.job, closed.task, attempt);
     if (view.status != AttemptStatus::exited) return false;
     commands_.enqueue(attempt.machine, attempt.incarnation,
-                      {CommandKind::acknowledge_exit, closed.job, closed.task, attempt.number, 0});
+                      {CommandKind::acknowledge_exit, closed.job, closed.task, attempt.number, 0},
+                      CommandReason::ended);
     return true;
 }
 
--- a/src/scheduling/orphan_reconciler.cpp
+++ b/src/scheduling/orphan_reconciler.cpp
@@ -103,7 +103,8 @@
 }
 
 void OrphanReconciler::enqueue(CommandKind kind, const ListedAttempt& orphan, std::uint64_t incarnation) {
-    commands_.enqueue(orphan.machine, incarnation, {kind, orphan.job, orphan.task, orphan.attempt, 0});
+    commands_.enqueue(orphan.machine, incarnation, {kind, orphan.job, orphan.task, orphan.attempt, 0},
+                      CommandReason::no_record);
 }
 
 }  // namespace hatchwind::controller
--- a/src/workers/command_sender.cpp
+++ b/src/workers/command_sender.cpp
@@ -19,6 +19,44 @@
 constexpr Micros kCommandTimeout{2'500'000};
 constexpr std::size_t kMaxQueuedCommands = 256;  // for one machine
 constexpr int kNoResponse = 0;                   // logged as the status
+
+const char* name_of(core::CommandKind kind) {
+    switch (kind) {
+        case core::CommandKind::start:
+            return "start";
+        case core::CommandKind::stop:
+            return "stop";
+        case core::CommandKind::acknowledge_exit:
+            return "acknowledge_exit";
+    }
+    return "";
+}
+
+const char* name_of(CommandReason reason) {
+    switch (reason) {
+        case CommandReason::recorded:
+            return "recorded";
+        case CommandReason::unlisted:
+            return "unlisted";
+        case CommandReason::cancelled:
+            return "cancelled";
+        case CommandReason::held:
+            return "held";
+        case CommandReason::evacuated:
+            return "evacuated";
+        case CommandReason::preempted:
+            return "preempted";
+        case CommandReason::ended:
+            return "ended";
+        case CommandReason::no_record:
+            return "no_record";
+    }
+    return "";
+}
+
+std::uint64_t known_token(const core::MachineView* view) {
+    return view == nullptr ? 0 : view->last_heartbeat.fencing_token;
+}
 }  // namespace
 
 void CommandSender::forget_earlier_epochs() {
@@ -29,7 +67,7 @@
 }
 
 void CommandSender::enqueue(const std::string& machine, std::uint64_t incarnation,
-                            core::WorkerCommand command) {
+                            core::WorkerCommand command, CommandReason reason) {
     forget_earlier_epochs();
     const std::uint64_t epoch = epoch_number();
     CommandQueue& queue = queues_[machine];
@@ -41,6 +79,12 @@
         queue.epoch = epoch;
     }
     if (queue.commands.size() >= kMaxQueuedCommands) return;
+    spdlog::debug(
+        "event=command_queued kind={} job={} task={} attempt={} machine={} incarnation={} token={} "
+        "machine_token={} revision={} reason={}",
+        name_of(command.kind), command.job, command.task, command.attempt, machine, incarnation, epoch,
+        known_token(context_.workers.cluster_view().find(machine)), context_.replicated.revision(),
+        name_of(reason));
     count_start(command);
     queue.commands.push_back(std::move(command));
     if (queue.sending) return;
@@ -85,6 +129,9 @@
     if (refused || reply.never_sent()) resolve_start_copies(commands, epoch);
     if (answered) {
         context_.workers.handle_response_body(reply->body);
+        spdlog::debug("event=commands_answered machine={} status={} commands={} token={} machine_token={}",
+                      machine, reply.status_or(kNoResponse), commands.size(), epoch,
+                      known_token(context_.workers.cluster_view().find(machine)));
         context_.signals.scheduling_needed.notify_all();
         return;
     }
--- a/src/workers/command_sender.hpp
+++ b/src/workers/command_sender.hpp
@@ -25,6 +25,18 @@
 
 namespace hatchwind::controller {
 
+/// Why a command is allowed; logged with it.
+enum class CommandReason : std::uint8_t {
+    recorded,   ///< start: the attempt's record has just been committed
+    unlisted,   ///< the attempt is recorded and its worker does not list it
+    cancelled,  ///< stop: the job is cancelled
+    held,       ///< stop: the job is being cancelled
+    evacuated,  ///< stop: the machine is drained or reclaimed
+    preempted,  ///< stop: another task needs the capacity
+    ended,      ///< the attempt's end is recorded
+    no_record,  ///< the store has no record of the attempt
+};
+
 /// The modules that CommandSender reads and changes.
 struct CommandSenderContext {
     io::Loop& loop;
@@ -45,7 +57,8 @@
 
     /// Queues a command for the given incarnation of the machine's worker. The attempt must be recorded in
     /// the store. Drops the command if the machine's queue is full; reconciliation repeats it.
-    void enqueue(const std::string& machine, std::uint64_t incarnation, core::WorkerCommand command);
+    void enqueue(const std::string& machine, std::uint64_t incarnation, core::WorkerCommand command,
+                 CommandReason reason);
     /// Returns true if a copy of this attempt's start that was issued under the current epoch may still reach
     /// the worker; also true after the worker has answered, because a duplicate may follow. The attempt's
     /// exit must not be acknowledged before: a late copy would start the task again.
--- a/src/workers/start_fence.cpp
+++ b/src/workers/start_fence.cpp
@@ -54,7 +54,8 @@
             none_left = false;
             if (!stopped.insert({job, task}).second) continue;
             context_.commands.enqueue(attempt.machine, attempt.incarnation,
-                                      {core::CommandKind::stop, job, task, attempt.number, 0});
+                                      {core::CommandKind::stop, job, task, attempt.number, 0},
+                                      CommandReason::held);
         }
     }
     return none_left;
