--- a/tests/combined_faults_test.cpp
+++ b/tests/combined_faults_test.cpp
@@ -68,20 +68,26 @@
     EXPECT_LE(use.cpus, 8 + core::kResourceTolerance) << "the preempted task is still on its machine";
 }
 
-// The end of an attempt is recorded, but its worker still lists it: the acknowledgement of its exit was lost
-// when a shard owner crashed, or is delayed because a duplicate of the start command is under way. If the new
-// attempt had to wait for that acknowledgement, it would wait forever in a fleet with one suitable machine.
-TEST(Placement, AnExitedAttemptThatIsStillListedBlocksNoNewAttempt) {
-    test::Cluster cluster;
+// The cluster's only machine lists the exited first attempt of the job's first task, whose end is recorded.
+core::WorkerHeartbeat list_exited_attempt(test::Cluster& cluster, const core::Job& job) {
     cluster.teams["x"] = {"x", 8, 24, 0, 0};
     auto machine = test::heartbeat("n-1", "small", "a");
-    machine.tasks.push_back(test::task_status("req-1", 0, 1, core::TaskState::exited));
+    machine.tasks.push_back(test::task_status(job.id, 0, 1, core::TaskState::exited));
     cluster.cluster_view.apply(machine, cluster.now, cluster.now);
-    cluster.job_table.put_job(test::job("req-1", "x", 1, 2), 1);
+    cluster.job_table.put_job(job, 1);
     core::Chunk chunk;
     chunk.mod_revision = 2;
     chunk.last_attempt = 1;
-    cluster.job_table.put_chunk("req-1", 0, chunk);
+    cluster.job_table.put_chunk(job.id, 0, chunk);
+    return machine;
+}
+
+// The end of an attempt is recorded, but its worker still lists it: the acknowledgement of its exit was lost
+// when a shard owner crashed, or is delayed because a duplicate of the start command is under way. If the new
+// attempt had to wait for that acknowledgement, it would wait forever in a fleet with one suitable machine.
+TEST(Placement, AnExitedAttemptThatIsStillListedBlocksNoNewAttempt) {
+    test::Cluster cluster;
+    auto machine = list_exited_attempt(cluster, test::job("req-1", "x", 1, 2));
     core::FreeCapacity capacity = cluster.free_capacity();
     const auto result = core::place(test::placement_input(cluster), capacity);
     ASSERT_EQ(result.starts.size(), 1U);
@@ -98,24 +104,18 @@
 // The only machine that fits lists an exited task of the gang's previous attempt.
 TEST(Placement, AnExitedAttemptOfAGangThatIsStillListedBlocksNoNewAttempt) {
     test::Cluster cluster;
-    cluster.teams["x"] = {"x", 8, 24, 0, 0};
-    auto machine = test::heartbeat("n-1", "small", "a");
-    machine.tasks.push_back(test::task_status("req-1", 0, 1, core::TaskState::exited));
-    cluster.cluster_view.apply(machine, cluster.now, cluster.now);
     auto gang = test::job("req-1", "x", 2, 1);
     gang.kind = core::JobKind::gang;
-    cluster.job_table.put_job(gang, 1);
-    core::Chunk chunk;
-    chunk.mod_revision = 2;
-    chunk.last_attempt = 1;
-    cluster.job_table.put_chunk("req-1", 0, chunk);
+    const auto machine = list_exited_attempt(cluster, gang);
     core::FreeCapacity capacity = cluster.free_capacity();
     const auto result = core::place(test::placement_input(cluster), capacity);
     ASSERT_EQ(result.starts.size(), 2U);
     EXPECT_EQ(result.starts[0].attempt.number, 2U);
 
     // A replacement for a task of a gang that still waits has the number of the exited attempt.
+    core::Chunk chunk;
     chunk.mod_revision = 3;
+    chunk.last_attempt = 1;
     chunk.open[1] = {1, "n-1", machine.incarnation};
     cluster.job_table.put_chunk("req-1", 0, chunk);
     core::FreeCapacity again = cluster.free_capacity();
--- a/tests/duplicate_commands_test.cpp
+++ b/tests/duplicate_commands_test.cpp
@@ -29,6 +29,14 @@
     co_await std::move(step);
 }
 
+// Requires that no other task runs.
+Task<void> run_and_cancel(TestDeployment& site, std::string id, int tasks) {
+    auto running = site.run(id, "x", "sweep", tasks);
+    co_await std::move(running);
+    auto cancelling = site.retry_until("POST", "/api/jobs/" + id + "/cancel", nullptr, {200});
+    co_await std::move(cancelling);
+}
+
 void forget_answered_commands(TestDeployment& site) {
     for (auto& [id, worker] : site.cloud.workers) worker->answered_requests.clear();
 }
@@ -104,11 +112,7 @@
         }
         forget_answered_commands(site);
         {
-            auto step = site.run("req-2", "x", "sweep", 2);
-            co_await std::move(step);
-        }
-        {
-            auto step = site.retry_until("POST", "/api/jobs/req-2/cancel", nullptr, {200});
+            auto step = run_and_cancel(site, "req-2", 2);
             co_await std::move(step);
         }
         const std::function<bool()> over = [&site] { return site.state.items.contains("f/req-2"); };
@@ -208,11 +212,7 @@
             co_await std::move(step);
         }
         {
-            auto step = site.run("req-3", "x", "sweep", 1);
-            co_await std::move(step);
-        }
-        {
-            auto step = site.retry_until("POST", "/api/jobs/req-3/cancel", nullptr, {200});
+            auto step = run_and_cancel(site, "req-3", 1);
             co_await std::move(step);
         }
         co_await site.loop.sleep(kSettleTime);
@@ -327,11 +327,7 @@
             co_await std::move(step);
         }
         {
-            auto step = site.run("req-3", "x", "sweep", 1);
-            co_await std::move(step);
-        }
-        {
-            auto step = site.retry_until("POST", "/api/jobs/req-3/cancel", nullptr, {200});
+            auto step = run_and_cancel(site, "req-3", 1);
             co_await std::move(step);
         }
         co_await site.loop.sleep(kExecutionTime);
