Fencing token: exits that end before an epoch's first count count as waiting, too

Operators would see machines list more exited attempts than the limits allow, 64 on one machine and four a machine on average, without a renewal of the epoch.

Cause: the baseline was an action on a late observation. The leader counts every two seconds, and took the fewest exits of the epoch's counts for exits that can't be acknowledged. What had ended before the first count, or had taken the place of acknowledged exits between two counts, never counted. In the traces 73 exits waited in one epoch, 45 of them at its first count, and no renewal came.

Change: the exits that are listed as the epoch begins are recorded, one by one, before anything is started in the epoch; all others wait. The policy has no state of its own per count any more. ListedAttempt is shared with OrphanReconciler.

--- a/src/core/token_renewal.hpp
+++ b/src/core/token_renewal.hpp
@@ -7,19 +7,22 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
+#include <set>
+
+#include "core/cluster_view.hpp"
+#include "core/listed_attempt.hpp"
 
 namespace hatchwind::core {
 
-/// The exited attempts that workers list.
+/// Counts exited attempts that workers list.
 struct ExitBacklog {
     std::size_t machines = 0;  ///< in the cluster view
     std::size_t exits = 0;
     std::size_t most_on_one_machine = 0;
 };
 
-/// Decides from the growth of the backlog within an epoch. Exits that can't be acknowledged, for example
-/// those on partitioned machines, are part of every backlog and cause no further epochs.
+/// Decides from the exits that workers have listed since the epoch began. Those that were listed before and
+/// can't be acknowledged, for example on partitioned machines, cause no further epochs.
 class TokenRenewalPolicy {
   public:
     /// Mean number of exits per machine that may wait.
@@ -29,13 +32,15 @@
     /// Number of exits that may wait on one machine; about 5 KiB of the heartbeat's 64 KiB.
     static constexpr std::size_t kMaxWaitingOnOneMachine = 64;
 
-    /// Returns true if a new epoch should be written now. `epoch`: number of the current epoch.
-    bool is_due(std::uint64_t epoch, const ExitBacklog& backlog);
+    /// Records the exits that are listed as an epoch begins.
+    void start_epoch(const ClusterView& view);
+    /// Counts the exits that have been listed since the epoch began.
+    ExitBacklog waiting_exits(const ClusterView& view) const;
+    /// Returns true if a new epoch should be written now.
+    static bool is_due(const ExitBacklog& waiting);
 
   private:
-    std::uint64_t epoch_ = 0;
-    std::size_t fewest_exits_ = 0;  // in this epoch
-    std::size_t fewest_on_fullest_machine_ = 0;
+    std::set<ListedAttempt> listed_before_;
 };
 
 }  // namespace hatchwind::core
--- a/src/scheduling/fencing_token_monitor.hpp
+++ b/src/scheduling/fencing_token_monitor.hpp
@@ -1,6 +1,8 @@
 /// Requests a new epoch when many exits wait for a higher fencing token.
 #pragma once
 
+#include <cstdint>
+
 #include "cluster/epoch_renewal.hpp"
 #include "cluster/leadership.hpp"
 #include "core/token_renewal.hpp"
@@ -16,17 +18,19 @@
                         const WorkerStatus& workers, EpochRenewal& renewal)
         : replicated_(replicated), leadership_(leadership), workers_(workers), renewal_(renewal) {}
 
-    /// Counts the exits that workers list, and requests a new epoch if one is due. Called every few seconds.
+    /// Records the exits that are listed as an epoch begins; those that follow wait for the next one. Called
+    /// before anything is started in the epoch.
+    void start_epoch();
+    /// Counts the exits that wait, and requests a new epoch if one is due. Called every few seconds.
     void check();
 
   private:
-    core::ExitBacklog backlog() const;
-
     const ReplicatedState& replicated_;
     const Leadership& leadership_;
     const WorkerStatus& workers_;
     EpochRenewal& renewal_;
     core::TokenRenewalPolicy policy_;
+    std::uint64_t observed_epoch_ = 0;  // number of the epoch that `policy_` has been told of
 };
 
 }  // namespace hatchwind::controller
--- a/src/scheduling/orphan_reconciler.cpp
+++ b/src/scheduling/orphan_reconciler.cpp
@@ -7,6 +7,7 @@
 namespace hatchwind::controller {
 
 using core::CommandKind;
+using core::ListedAttempt;
 using core::Micros;
 using core::TaskState;
 
--- a/src/scheduling/orphan_reconciler.hpp
+++ b/src/scheduling/orphan_reconciler.hpp
@@ -1,12 +1,12 @@
 /// Reconciles attempts that workers list although the store has no open record of them.
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <string>
 
 #include "cluster/leadership.hpp"
+#include "core/listed_attempt.hpp"
 #include "store/replicated_state.hpp"
 #include "workers/command_sender.hpp"
 #include "workers/worker_status.hpp"
@@ -25,33 +25,25 @@
     bool reconcile();
 
   private:
-    /// An attempt as a worker lists it.
-    struct ListedAttempt {
-        std::string machine;
-        std::string job;
-        std::uint32_t task = 0;
-        std::uint64_t attempt = 0;
-        friend auto operator<=>(const ListedAttempt&, const ListedAttempt&) = default;
-    };
     /// Numbers of the epochs in which an orphan was found.
     struct Sighting {
         std::uint64_t first_epoch = 0;
         std::uint64_t last_epoch = 0;
     };
-    using Orphans = std::map<ListedAttempt, Sighting>;
+    using Orphans = std::map<core::ListedAttempt, Sighting>;
 
     bool is_ours(const core::JobEntry* entry) const;
     bool is_orphan(const std::string& machine, const core::JobEntry* entry,
                    const core::TaskStatus& listed) const;
     void reconcile_machine(const std::string& machine, const core::MachineView& view,
                            core::Micros monotonic_now, Orphans& found);
-    void reconcile_exit(const ListedAttempt& orphan, const core::JobEntry* entry, std::uint64_t incarnation,
-                        Orphans& found);
-    void stop(const ListedAttempt& orphan, const core::JobEntry* entry, const core::MachineView& view,
+    void reconcile_exit(const core::ListedAttempt& orphan, const core::JobEntry* entry,
+                        std::uint64_t incarnation, Orphans& found);
+    void stop(const core::ListedAttempt& orphan, const core::JobEntry* entry, const core::MachineView& view,
               Orphans& found);
     /// Records the orphan in `found`; returns its sighting in the last run, or null.
-    const Sighting* record_sighting(const ListedAttempt& orphan, Orphans& found) const;
-    void enqueue(core::CommandKind kind, const ListedAttempt& orphan, std::uint64_t incarnation);
+    const Sighting* record_sighting(const core::ListedAttempt& orphan, Orphans& found) const;
+    void enqueue(core::CommandKind kind, const core::ListedAttempt& orphan, std::uint64_t incarnation);
 
     const ReplicatedState& replicated_;
     const Leadership& leadership_;
--- a/src/scheduling/shard_scheduler.cpp
+++ b/src/scheduling/shard_scheduler.cpp
@@ -68,6 +68,7 @@
     last_seen_epoch_ = context_.replicated.epoch().number;
     dispatcher_.start_epoch();
     acknowledger_.start_epoch();
+    token_monitor_.start_epoch();
     placement_.start_epoch();
     page_writer_.start_epoch();
     reconciler_.start_epoch();
