Tests: copies of commands are played under leases that outlast a pause of the process

Five tests of DuplicateCommands and FencingTokenRenewal need a fencing token that stays the same, or changes only for the reason that they test. A process that stands still for longer than the store lease of 1.2 s raises it, and for longer than the worker's lease of 3 s raises the incarnation.

Change: TestDeployment takes the lives of both leases, and these tests set 80 s. Their checks, limits and steps stay as they were.

--- a/tests/duplicate_commands_test.cpp
+++ b/tests/duplicate_commands_test.cpp
@@ -19,12 +19,15 @@
 
 using io::Micros;
 using io::Task;
+using test::kNoRelayedNode;
 using test::TestDeployment;
 using wire::Json;
 
 // Long enough for an exit to be recorded, and for everything that follows from it within one epoch.
 constexpr Micros kSettleTime{2'600'000};
 constexpr Micros kExecutionTime{300'000};
+// So long that no token changes when the process stands still.
+constexpr test::Leases kLongLeases{Micros{80'000'000}, 80};
 
 Task<void> bring_machine_up(TestDeployment& site) {
     auto step = site.run_until_done("req-1", "x", "sweep", 1);
@@ -55,7 +58,7 @@
 // The first attempt of the job's task ends as configured in the workload; a second one completes.
 void play_after_a_failed_attempt(const std::function<void(test::FakeWorker::Workload&)>& configure,
                                  const std::string& form) {
-    TestDeployment deployment{1};
+    TestDeployment deployment{1, kNoRelayedNode, kLongLeases};
     configure(deployment.workload);
     deployment.play([form](TestDeployment& site) -> Task<void> {
         {
@@ -83,7 +86,7 @@
 }
 
 TEST(DuplicateCommands, AStartRunsNoCompletedTaskAgain) {
-    TestDeployment deployment{1};
+    TestDeployment deployment{1, kNoRelayedNode, kLongLeases};
     deployment.play([](TestDeployment& site) -> Task<void> {
         auto up = bring_machine_up(site);
         co_await std::move(up);
@@ -105,7 +108,7 @@
 TEST(DuplicateCommands, AStartRunsNoAttemptThatWasRefusedAsInUse) { play_after_refusal("in_use"); }
 
 TEST(DuplicateCommands, AStartRunsNoCancelledTaskAgain) {
-    TestDeployment deployment{1};
+    TestDeployment deployment{1, kNoRelayedNode, kLongLeases};
     deployment.workload.endless_jobs = {"req-2"};
     deployment.play([](TestDeployment& site) -> Task<void> {
         {
@@ -127,7 +130,7 @@
 
 // Two jobs and a gang are started by the same requests.
 TEST(DuplicateCommands, ARequestWithStartsOfSeveralJobsRunsNoneOfThemAgain) {
-    TestDeployment deployment{1};
+    TestDeployment deployment{1, kNoRelayedNode, kLongLeases};
     deployment.workload.run_time = Micros{600'000};
     deployment.play([](TestDeployment& site) -> Task<void> {
         {
@@ -162,7 +165,7 @@
 }
 
 TEST(DuplicateCommands, ExitsAreAcknowledgedUnderTheNextTokenAndCopiesAreRefusedFromThenOn) {
-    TestDeployment deployment{1};
+    TestDeployment deployment{1, kNoRelayedNode, kLongLeases};
     deployment.play([](TestDeployment& site) -> Task<void> {
         {
             auto step = site.run_until_done("req-1", "x", "sweep", 4);
@@ -184,7 +187,7 @@
 
 // The teams have two shard owners, which command the same machines in one epoch.
 TEST(DuplicateCommands, StartsOfTwoShardOwnersRunNothingAgainOnTheSameMachine) {
-    TestDeployment deployment{2};
+    TestDeployment deployment{2, kNoRelayedNode, kLongLeases};
     deployment.play([](TestDeployment& site) -> Task<void> {
         {
             auto step = bring_machine_up(site);
@@ -206,7 +209,7 @@
 }
 
 TEST(DuplicateCommands, AnAttemptThatRunsAfterItsRecordedEndIsStopped) {
-    TestDeployment deployment{1};
+    TestDeployment deployment{1, kNoRelayedNode, kLongLeases};
     deployment.workload.endless_jobs = {"req-3"};
     deployment.play([](TestDeployment& site) -> Task<void> {
         {
@@ -228,7 +231,7 @@
 }
 
 TEST(FencingTokenRenewal, ManyWaitingExitsRaiseTheTokenWithoutAChangeOfMembers) {
-    TestDeployment deployment{2};
+    TestDeployment deployment{2, kNoRelayedNode, kLongLeases};
     deployment.workload.run_time = Micros{50'000};
     deployment.play([](TestDeployment& site) -> Task<void> {
         {
@@ -324,7 +327,7 @@
 
 // As in the incident: the machine has not received the token of the leader that was elected since.
 TEST(DuplicateCommands, AStartOfThePreviousEpochRunsNothingBesideALeaderUnknownToTheMachine) {
-    TestDeployment deployment{1};
+    TestDeployment deployment{1, kNoRelayedNode, kLongLeases};
     deployment.workload.endless_jobs = {"req-2"};
     deployment.workload.first_exit_causes["req-2"] = "error";
     deployment.play([](TestDeployment& site) -> Task<void> {
@@ -361,7 +364,7 @@
 }
 
 TEST(DuplicateCommands, AMachineAndAControllerThatAreBackWithinASecondRunNothingAgain) {
-    TestDeployment deployment{1};
+    TestDeployment deployment{1, kNoRelayedNode, kLongLeases};
     deployment.workload.endless_jobs = {"req-3"};
     deployment.play([](TestDeployment& site) -> Task<void> {
         {
--- a/tests/test_deployment.hpp
+++ b/tests/test_deployment.hpp
@@ -16,11 +16,19 @@
 using io::Micros;
 using io::Task;
 
+// Times after which leases expire that are not renewed.
+struct Leases {
+    Micros store{1'200'000};
+    double worker_s = 3;
+};
+
+constexpr int kNoRelayedNode = -1;
+
 class TestDeployment {
   public:
     // `relayed_node`: index of a node that reaches the store and its peers only through relays, so that
-    // isolate() can partition it; -1: none.
-    explicit TestDeployment(int nodes, int relayed_node = -1)
+    // isolate() can partition it.
+    explicit TestDeployment(int nodes, int relayed_node = kNoRelayedNode, Leases leases = {})
         : state(loop), cloud(loop, [this](std::string id, std::string zone) {
               return std::make_unique<FakeWorker>(loop, workload, std::move(id), std::move(zone), addresses_,
                                                   labels_);
@@ -38,6 +46,8 @@
                 peer_relays_.push_back(
                     std::make_unique<Relay>(loop, peer_mesh_[static_cast<std::size_t>(i)]));
         }
+        workload.lease_s = leases.worker_s;
+        store_lease_ttl_ = leases.store;
         controllers_.resize(static_cast<std::size_t>(nodes));
         for (int i = 0; i < nodes; ++i) start(static_cast<std::size_t>(i));
     }
@@ -72,7 +82,7 @@
         settings.skew_ms = 5;
         if (adjust_settings) adjust_settings(settings);
         controller::Tunables tunables = controller::parse_tunables({}, settings);
-        tunables.store_lease_ttl = Micros{1'200'000};
+        tunables.store_lease_ttl = store_lease_ttl_;
         tunables.store_lease_renewal_interval = Micros{250'000};
         tunables.lease_extension_ttl = Micros{700'000};
         tunables.silent_release = silent_release;
@@ -251,6 +261,7 @@
     io::HttpClient client{loop};
 
   private:
+    Micros store_lease_ttl_{};
     std::vector<std::string> labels_;
     std::vector<io::Address> addresses_;
     std::vector<io::Address> peer_mesh_;
