--- a/tests/duplicate_commands_test.cpp
+++ b/tests/duplicate_commands_test.cpp
@@ -363,6 +363,42 @@
     });
 }
 
+// The machine hangs meanwhile, and the copy is carried out as it goes on.
+TEST(DuplicateCommands, AStartRunsNothingOnTheMachineThatItsTaskWasMovedFrom) {
+    TestDeployment deployment{1, kNoRelayedNode, kLongLeases};
+    deployment.workload.endless_jobs = {"req-2"};
+    deployment.workload.first_exit_causes["req-2"] = "error";
+    deployment.play([](TestDeployment& site) -> Task<void> {
+        {
+            auto step = bring_machine_up(site);
+            co_await std::move(step);
+        }
+        {
+            auto step = site.submit("req-2", "x", "sweep", 1);
+            co_await std::move(step);
+        }
+        const std::function<bool()> failed = [&site] {
+            return site.workload.started["req-2/0"] > 0 && !site.workload.running.contains("req-2/0");
+        };
+        {
+            auto waiting = site.until(failed);
+            co_await std::move(waiting);
+        }
+        co_await site.loop.sleep(kExecutionTime);
+        for (auto& [id, worker] : site.cloud.workers) worker->suspended = true;
+        const auto earlier_machines = site.cloud.workers.size();
+        const std::function<bool()> moved = [&site] { return site.workload.running.contains("req-2/0"); };
+        {
+            auto waiting = site.until(moved);
+            co_await std::move(waiting);
+        }
+        EXPECT_GT(site.cloud.workers.size(), earlier_machines);
+        const auto started = site.workload.started;
+        EXPECT_GT(site.deliver_answered_commands(), 0U) << "the machine knows a new token";
+        EXPECT_EQ(site.workload.started, started);
+    });
+}
+
 TEST(DuplicateCommands, AMachineAndAControllerThatAreBackWithinASecondRunNothingAgain) {
     TestDeployment deployment{1, kNoRelayedNode, kLongLeases};
     deployment.workload.endless_jobs = {"req-3"};
