Logs: counters of commands to workers, once a minute

The records of the incident don't say how many commands a controller had sent, how many were refused because the worker knew a higher token, and how many stayed without an answer; the operators asked for lines and metrics that would have.

Change: CommandSender counts starts, stops, acknowledgements, starts that it didn't send and how its requests ended (CommandCounters), and logs them at info once a minute while they change: event=command_counters, with the token of the time.

Behaviour is not changed.

--- a/src/scheduling/shard_scheduler.cpp
+++ b/src/scheduling/shard_scheduler.cpp
@@ -57,6 +57,7 @@
             dispatcher_.forget_closed_attempts();
             failure_backoff_.remove_obsolete();
             token_monitor_.check();
+            context_.commands.log_counters();
         }
         auto erasure = erase_unused_pages();
         co_await std::move(erasure);
--- a/src/workers/command_sender.cpp
+++ b/src/workers/command_sender.cpp
@@ -128,6 +128,7 @@
     // Resolves only the copies in this request; other copies may still arrive.
     if (refused || reply.never_sent()) resolve_start_copies(commands, epoch);
     if (answered) {
+        counters_.record_outcome(refused ? CommandOutcome::refused : CommandOutcome::answered);
         context_.workers.handle_response_body(reply->body);
         spdlog::debug("event=commands_answered machine={} status={} commands={} token={} machine_token={}",
                       machine, reply.status_or(kNoResponse), commands.size(), epoch,
@@ -139,6 +140,7 @@
     // would exclude live machines of a large fleet from new tasks after a failover.
     if (!reply.has_error(io::HttpError::pool_exhausted))
         context_.probes.record_unanswered(machine, steady_now());
+    counters_.record_outcome(CommandOutcome::unanswered);
     spdlog::debug("event=command_unanswered machine={} status={} commands={}", machine,
                   reply.status_or(kNoResponse), commands.size());
 }
@@ -154,6 +156,7 @@
     std::erase_if(queue.commands, [&](const core::WorkerCommand& command) {
         if (!is_forbidden(command)) return false;
         spdlog::debug("event=start_dropped job={} task={}", command.job, command.task);
+        counters_.record_dropped_start();
         resolve_start_copy(command, queue.epoch);
         return true;
     });
@@ -195,6 +198,7 @@
         auto sending = context_.worker_http.send(*address, "POST", "/orders", std::move(body),
                                                  steady_now() + kCommandTimeout, kMaxWorkerStatusBytes);
         count_in_flight(commands);
+        counters_.record_sent(commands);
         const io::HttpResult reply = co_await std::move(sending);
         resolve_in_flight(commands);
         handle_reply(machine, epoch, commands, reply);
--- a/src/workers/command_sender.hpp
+++ b/src/workers/command_sender.hpp
@@ -19,6 +19,7 @@
 #include "io/task.hpp"
 #include "store/change_signals.hpp"
 #include "store/replicated_state.hpp"
+#include "workers/command_counters.hpp"
 #include "workers/reachability_probes.hpp"
 #include "workers/start_holds.hpp"
 #include "workers/worker_status.hpp"
@@ -65,6 +66,8 @@
     bool start_may_arrive(const std::string& job, std::uint32_t task, std::uint64_t attempt) const;
     /// Returns true if a request that contains a start of the job has been sent and is not completed yet.
     bool start_in_flight(const std::string& job) const { return starts_in_flight_.contains(job); }
+    /// Logs how many commands were sent and how their requests ended. Called every few seconds.
+    void log_counters() { counters_.log(io::steady_now(), epoch_number()); }
 
   private:
     struct CommandQueue {
@@ -111,6 +114,7 @@
     std::map<AttemptKey, IssuedStart> issued_starts_;
     std::map<std::string, std::size_t> starts_in_flight_;  // by job: in requests that are not completed
     std::uint64_t oldest_issued_epoch_ = 0;                // no issued start is older
+    CommandCounters counters_;
 };
 
 }  // namespace hatchwind::controller
