--- a/tests/combined_faults_test.cpp
+++ b/tests/combined_faults_test.cpp
@@ -601,6 +601,23 @@
 }
 
 // The backoff of a failing machine or job grows, but stays below the maximum queue time of 90 s.
+// The machine hangs for a quarter of its lease, and the leader that requested it has ended.
+TEST(LeaderFailover, AMachineWithTasksThatIsNotHeardFromYetIsNotReleased) {
+    TestDeployment deployment{1, test::kNoRelayedNode, {Micros{1'200'000}, 80}};
+    deployment.workload.endless_jobs = {"req-1"};
+    deployment.cloud.age_s = 600;
+    deployment.play([](TestDeployment& site) -> Task<void> {
+        auto running = site.run("req-1", "x", "sweep", 1);
+        co_await std::move(running);
+        for (auto& [id, worker] : site.cloud.workers) worker->suspended = true;
+        site.kill(0);
+        site.start(0);
+        co_await site.loop.sleep(Micros{20'000'000});
+        EXPECT_FALSE(site.cloud.workers.empty());
+        EXPECT_EQ(site.workload.started["req-1/0"], 1);
+    });
+}
+
 TEST(FailureBackoff, IsShorterThanTheMaximumQueueTime) {
     for (int errors = 1; errors < 100; ++errors) {
         EXPECT_LT(core::machine_backoff(errors), core::kOverdueAfter) << errors;
--- a/tests/fake_services.hpp
+++ b/tests/fake_services.hpp
@@ -611,6 +611,7 @@
     const io::Address address;
     std::map<std::string, std::unique_ptr<FakeWorker>> workers;
     double cores = 4.0;                             // CPU cores of the machine type in the catalog
+    double age_s = 5.0;                             // time since each instance was requested, as it is listed
     std::optional<std::string> malformed_response;  // the body of each response, and nothing is executed
 
   private:
@@ -658,7 +659,7 @@
                             {"roost", worker->zone()},
                             {"borrowed", false},
                             {"status", "running"},
-                            {"heldS", 5.0}});
+                            {"heldS", age_s}});
         }
         return reply(200, {{"perches", list}, {"hasNext", false}});
     }
