Comments: scaling, tunables and heartbeats between controllers, in plain words

Cause: comments there answered questions that nobody asks, and spoke in figures.

No code, text or name differs.

--- a/src/config/tunables.cpp
+++ b/src/config/tunables.cpp
@@ -13,12 +13,12 @@
 
 using core::from_seconds;
 
-// Silence of that many heartbeats and seconds means more than one lost heartbeat and one change of the
-// controller, which take a worker up to 4 s and 1 s.
+// A worker that loses one heartbeat and then changes to another controller is late by up to 4 s and 1 s. The
+// time after which a machine counts as unresponsive is longer than that.
 constexpr double kSilentHeartbeats = 2;
 constexpr double kSilentMarginSeconds = 8;
 
-// Reads properties one after the other into what they set. A property that is not given leaves its default.
+// Reads properties one by one into the variables that they set. An absent property leaves the default.
 class PropertyReader {
   public:
     explicit PropertyReader(Properties properties) : unread_(std::move(properties)) {}
@@ -35,14 +35,14 @@
         number(key, least, most, seconds);
         into = from_seconds(seconds);
     }
-    // What is beyond the point is cut off.
+    // Rounds down.
     void count(const char* key, double least, double most, std::size_t& into) {
         if (!unread_.contains(key)) return;
         double count = 0;
         number(key, least, most, count);
         into = static_cast<std::size_t>(count);
     }
-    // To be called when all known properties have been read.
+    // Throws if a property is left that no call has read.
     void refuse_unknown() const {
         if (unread_.empty()) return;
         throw SettingsError(unread_.begin()->first, "an unknown key", "a key that docs/operations.md lists");
@@ -54,7 +54,7 @@
         const char* text_end = text.data() + text.size();
         const auto [parsed_end, error] = std::from_chars(text.data(), text_end, number);
         const bool is_number = error == std::errc{} && parsed_end == text_end;
-        // Written so that what is not a number at all is refused too.
+        // False for NaN, too.
         const bool in_range = number >= least && number <= most;
         if (!is_number || !in_range)
             throw SettingsError(key, text.empty() ? "nothing" : text, number_range(least, most));
@@ -103,7 +103,7 @@
     Tunables tunables;
     tunables.silent_release = from_seconds(settings.report_s * kSilentHeartbeats + kSilentMarginSeconds);
     PropertyReader reader{properties};
-    // In this order: of several errors the operator sees the first.
+    // The order decides which of several errors is reported.
     read_intervals(reader, tunables);
     read_scale_out(reader, tunables);
     read_drain(reader, tunables);
--- a/src/mesh/peer_heartbeats.cpp
+++ b/src/mesh/peer_heartbeats.cpp
@@ -12,7 +12,7 @@
 namespace {
 constexpr Micros kHeartbeatInterval{500'000};
 constexpr Micros kUnansweredFor{3'000'000};
-// The first heartbeat of a connection has all of them to tell, and a frame has a limit (kMaxFrameBytes).
+// The first heartbeat of a connection lists all released machines, and kMaxFrameBytes limits a frame.
 constexpr std::size_t kReleasedPerHeartbeat = 8192;
 }  // namespace
 
@@ -54,7 +54,7 @@
 
 void PeerHeartbeats::send(PeerLink& link, wire::PeerHeartbeat& heartbeat,
                           const std::vector<wire::CancellationNotice>& cancellations) {
-    // Repeated until the peer's replica has them: a notice may be lost with its connection.
+    // Repeated until the peer's replica includes them, because a notice may be lost with its connection.
     heartbeat.cancellations.clear();
     const core::Revision peer_revision = context_.peers.find(link.peer.label)->heartbeat.revision;
     std::copy_if(cancellations.begin(), cancellations.end(), std::back_inserter(heartbeat.cancellations),
@@ -67,8 +67,8 @@
     const auto& released = context_.workers.cluster_view().released_machines();
     auto news = released.since(link.reported_releases_position, kReleasedPerHeartbeat);
     heartbeat.released = std::move(news.machines);
-    // One that the link has no room for is lost, and the next one tells what it would have told: a peer takes
-    // a heartbeat's table for all that was answered until then, and counts leases by it.
+    // A heartbeat that the link has no room for is dropped, and the next one includes its content: the peer
+    // relies on the table being complete up to its time when it judges the expiry of leases.
     if (!context_.links.push(link, heartbeat)) return;
     link.renewals_reported_until = Micros{heartbeat.wall_us};
     link.reported_releases_position = news.position;
--- a/src/scaling/instance_inventory.cpp
+++ b/src/scaling/instance_inventory.cpp
@@ -15,15 +15,15 @@
 namespace {
 constexpr Micros kBootTimeOfUnknownType{30'000'000};
 
-// A booting instance counts as capacity to come for so many boot times and this much more.
+// An instance counts as booting for this multiple of its type's boot time, plus a margin.
 constexpr int kBootTimesUntilOverdue = 3;
 constexpr double kOverdueMarginSeconds = 5;
-// After these it is released: its machine never came up.
+// An instance without a heartbeat is released after this multiple of the boot time, plus a margin.
 constexpr int kBootTimesUntilGivenUp = 5;
 constexpr double kGivenUpMarginSeconds = 20;
 
-// How many times the list's lag an instance may be missing from it, and how much longer: one that was listed
-// before, and one that this leader has requested and that no list has shown yet.
+// For how long an instance may be missing from the cloud's list, as a multiple of the list's lag plus a
+// margin: one that was listed before, and one that was requested and has not been listed yet.
 constexpr double kLagsWhenListed = 2;
 constexpr double kMarginWhenListedSeconds = 2;
 constexpr double kLagsWhenRequested = 4;
@@ -63,8 +63,8 @@
         known_, [&](const auto& entry) { return is_gone(entry.first, entry.second, listed, monotonic_now); });
 }
 
-// A list may be older than the one before it, but once a list has shown an instance, later ones show it until
-// it is gone. An instance that was only just requested is missing for a while.
+// A list may be older than the previous one. A listed instance stays listed until it ends; one that was just
+// requested may be missing at first.
 bool InstanceInventory::is_gone(const std::string& machine, const KnownInstance& known,
                                 const InstancesByMachine& listed, Micros monotonic_now) const {
     if (workers_.cluster_view().released(machine)) return true;
--- a/src/scaling/instance_inventory.hpp
+++ b/src/scaling/instance_inventory.hpp
@@ -37,23 +37,23 @@
 
     /// Reads the cloud's list, page by page, up to the first page that can't be had. Changes nothing here.
     io::Task<Listing> fetch();
-    /// Takes in a complete list: adds what is new, removes what is gone.
+    /// Applies a complete list: adds new instances and removes those that have ended.
     void apply(const InstancesByMachine& listed);
-    /// The cloud has just granted that machine.
+    /// Adds a machine that the cloud has just granted.
     void add_requested(const std::string& machine, const core::InstancePool& pool);
-    /// The machine was released. Returns the pool that it came from; nothing when it was not known.
+    /// Removes a released machine. Returns its pool, or nothing if the machine is not known.
     std::optional<core::InstancePool> remove(const std::string& machine);
-    /// A new term starts: only the cloud's next list tells what there is.
+    /// Forgets all instances, at the start of a term.
     void clear() { known_.clear(); }
 
-    /// The cloud lists the machine, or is about to.
+    /// Returns true if the cloud lists the machine or is expected to list it soon.
     bool contains(const std::string& machine) const { return known_.contains(machine); }
-    /// Instances without a heartbeat yet that may still send one. Needs the catalog.
+    /// Returns instances that have sent no heartbeat and may still be booting. Requires the catalog.
     std::vector<core::Instance> booting(io::Micros monotonic_now) const;
-    /// Machines whose instances the cloud calls failed.
+    /// Returns the machines whose instances the cloud lists as failed.
     std::vector<std::string> failed() const;
-    /// Machines that have sent no heartbeat long after their boot time. Only a leader that has led for some
-    /// time can tell. Needs the catalog.
+    /// Returns machines that have sent no heartbeat long after their boot time, as far as this controller
+    /// knows: a new leader may not have received their heartbeats yet. Requires the catalog.
     std::vector<std::string> never_booted(io::Micros monotonic_now) const;
 
   private:
--- a/src/scaling/leader_term.hpp
+++ b/src/scaling/leader_term.hpp
@@ -1,5 +1,5 @@
-/// The term of a cluster leader, as scaling sees it: how long it has led decides what it may conclude from
-/// what it hasn't seen.
+/// The term of a cluster leader. Its length limits what scaling may conclude from the absence of
+/// information.
 #pragma once
 
 #include <cstdint>
@@ -11,7 +11,7 @@
 /// Written by ScalingController alone. Times are monotonic.
 struct LeaderTerm {
     std::uint64_t last_led_epoch = 0;  ///< number of the epoch in which this controller last led; 0: none
-    core::Micros started_at{0};        ///< since when it leads, over epochs that follow one another
+    core::Micros started_at{0};        ///< beginning of the term, which may span several epochs
     /// The cloud's list of instances was read whole in this term.
     bool inventory_read = false;
 
--- a/src/scaling/scale_in.cpp
+++ b/src/scaling/scale_in.cpp
@@ -15,15 +15,15 @@
 using io::Task;
 
 namespace {
-// For a cordon to reach the other controllers' cluster views.
+// Time in which a cordon reaches the other controllers.
 constexpr Micros kCordonPropagation{500'000};
-// A leader this long in its term has seen the instances that earlier leaders requested.
+// After this time in a term, the leader knows the instances that earlier leaders requested.
 constexpr Micros kTermKnowsInstances{10'000'000};
 constexpr Micros kUnresponsiveReleaseWindow{60'000'000};
-// Cordons of machines that are gone do no harm, so several are removed in one write, or all after some time.
+// Cordons of released machines are harmless, so they are removed in batches, or after some time.
 constexpr std::size_t kStaleCordonsWorthWrite = 20;
 constexpr Micros kLongestStaleCordon{10'000'000};
-// After so many times the lag of the cloud's list, and this margin, the list shows all that there is.
+// After this multiple of the list's lag, plus a margin, the cloud's list is complete.
 constexpr double kLagsUntilListSettled = 2;
 constexpr double kListSettledMarginSeconds = 10;
 }  // namespace
@@ -58,8 +58,8 @@
 Micros ScaleIn::unresponsive_for(const std::string& machine, const core::MachineView& view,
                                  Micros monotonic_now) const {
     const Micros without_heartbeat = monotonic_now - view.last_heartbeat_at;
-    // One that sends heartbeats but answers nothing counts too: nothing can be started or stopped on it. The
-    // fault may lie with this controller, unless it is healthy.
+    // A machine that sends heartbeats but answers no request counts too, because nothing can be started or
+    // stopped on it. If this controller is unhealthy, the fault may be its own.
     const ProbeState* probe = context_.probes.find(machine);
     const bool answers = probe == nullptr || probe->unanswered_since.count() == 0;
     if (!context_.health.is_healthy() || answers) return without_heartbeat;
@@ -69,7 +69,7 @@
 void ScaleIn::add_unresponsive(std::vector<std::string>& due, Micros monotonic_now, const LeaderTerm& term) {
     std::vector<core::UnresponsiveMachine> machines;
     for (const auto& [machine, view] : context_.workers.cluster_view().machines()) {
-        // No longer than this leader's term: before, it may only not have received their heartbeats.
+        // At most the length of this term: before it, the heartbeats may have gone to another controller.
         const Micros unresponsive =
             std::min(unresponsive_for(machine, view, monotonic_now), term.length(monotonic_now));
         const bool has_tasks = !context_.replicated.job_table().on_machine(machine).empty();
--- a/src/scaling/scale_in.hpp
+++ b/src/scaling/scale_in.hpp
@@ -40,12 +40,12 @@
   public:
     explicit ScaleIn(const ScaleInContext& context) : context_(context) {}
 
-    /// Machines to release now, in ascending order, and no more than one request to the cloud may name. Needs
-    /// the catalog.
+    /// Returns the machines to release now, in ascending order, at most as many as one request to the cloud
+    /// may list. Requires the catalog.
     std::vector<std::string> machines_to_release(io::Micros monotonic_now, const LeaderTerm& term);
-    /// Removes the cordons of machines that are gone, once that is worth a write to the store.
+    /// Removes the cordons of released machines, if there are enough of them to justify a write.
     io::Task<void> remove_stale_cordons(io::Micros monotonic_now, LeaderTerm term);
-    /// This controller doesn't lead for now: since when machines are empty has to be seen anew.
+    /// Discards the times since when machines are empty, because this controller does not lead any more.
     void pause() { empty_since_.clear(); }
 
   private:
--- a/src/scaling/scaling_controller.cpp
+++ b/src/scaling/scaling_controller.cpp
@@ -16,7 +16,7 @@
 
 namespace {
 constexpr Micros kCatalogRetryInterval{500'000};
-// Types hardly change and prices move slowly; only the leader spends by them.
+// Types rarely change. Prices change slowly and only matter to the leader.
 constexpr Micros kCatalogIntervalLeading{60'000'000};
 constexpr Micros kCatalogInterval{600'000'000};
 
@@ -24,17 +24,17 @@
 constexpr Micros kListInterval{1'500'000};
 constexpr Micros kListIntervalPerPage{500'000};
 
-// A term that is older than this ends with its epoch, though the same controller leads in the next.
+// A term that is older than this ends with its epoch, even if the same controller leads in the next one.
 constexpr Micros kLongestTermOverEpochs{3'600'000'000};
 
 constexpr Micros kScaleOutInterval{1'000'000};
 constexpr Micros kLeastScaleOutPause{250'000};
-// Planning is a twentieth of a controller's time at the most: machines take much longer to boot.
+// Limits planning to a twentieth of the controller's time; booting machines takes much longer anyway.
 constexpr int kScaleOutPauseInPlans = 20;
 
 constexpr Micros kScaleInInterval{500'000};
 
-// A machine is gone when the cloud's list has not shown it for so many times the list's lag and this margin.
+// A machine has ended if it was missing from the cloud's list for this multiple of the lag, plus a margin.
 constexpr double kLagsUntilVanished = 2;
 constexpr double kVanishedMarginSeconds = 5;
 }  // namespace
@@ -114,7 +114,7 @@
         record_epoch();
         auto refreshing = refresh_inventory();
         const std::size_t listed = co_await std::move(refreshing);
-        // A long list takes several of the cloud's calls.
+        // Reading a long list takes several calls.
         const auto pages = static_cast<Micros::rep>(1 + listed / InstanceInventory::kPageSize);
         co_await context_.loop.sleep(kListInterval + kListIntervalPerPage * pages);
     }
